--- a/src/bin/thistlespindle-simhost.rs
+++ b/src/bin/gaugestep-adapter.rs
@@ -4,7 +4,7 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use thistlespindle::wire::Host;
+use gaugestep::wire::Host;
 
 fn run() -> Result<(), String> {
     let mut host = Host::new();
@@ -27,7 +27,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("thistlespindle-simhost: {message}");
+            eprintln!("gaugestep-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-use thistlespindle::interface::*;
-use thistlespindle::wire::{Host, print, settings};
+use gaugestep::interface::*;
+use gaugestep::wire::{Host, print, settings};
 
 const SETTINGS: &str = r#"{"zone": 0, "balancers": 1, "unknown": {"a": 1}, "kinds": ["k"],
  "family_info": {"class_threads": [1], "size_cores": [8], "ram_of_kind_mb": [16384], "tells_cost": true,
@@ -161,7 +161,7 @@
         ("eob\n", "outside a batch"),
         ("tick wall_ms=1\n", "inside a batch"),
     ] {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_thistlespindle-simhost"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_gaugestep-adapter"))
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use thistlespindle::Dispatcher;
-use thistlespindle::interface::*;
+use gaugestep::Dispatcher;
+use gaugestep::interface::*;
 
 struct Sent {
     engine: EngineId,
