--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,135 @@
+//! What the proxy is told at its start.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use gaugestep::Settings;
+use serde_json::Value;
+
+/// The limits that the proxy keeps.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Descriptors that the process may hold.
+    pub descriptors: usize,
+    /// Attempts that one connection to a database carries together.
+    pub multiplex: usize,
+    /// A connection that is not up within this time has failed, in milliseconds.
+    pub dial_timeout_ms: u64,
+    /// Idle connections are closed by the databases after this time, in milliseconds.
+    pub idle_ms: u64,
+    /// Requests that may be open together.
+    pub max_open: usize,
+}
+
+/// The names that the protocol uses, in the order of the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Classes of requests.
+    pub classes: Vec<String>,
+    /// Tenants; may be empty.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub machines: Vec<String>,
+}
+
+/// The whole configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The proxy's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The seed of the module's random numbers.
+    pub seed: u64,
+    /// The coordinator's address, if there is one.
+    pub coordinator: Option<SocketAddr>,
+    /// The number of the last event in `known`.
+    pub known_index: u64,
+    /// The coordinator's events up to the start.
+    pub known: Vec<Value>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the settings.
+    pub names: Names,
+    /// Limits.
+    pub limits: Limits,
+}
+
+impl Config {
+    /// Reads the file; the error is one plain line.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        let json: Value =
+            serde_json::from_str(&text).map_err(|error| format!("{}: not JSON: {error}", path.display()))?;
+        Self::decode(&json).map_err(|error| format!("{}: {error}", path.display()))
+    }
+
+    fn decode(json: &Value) -> Result<Self, String> {
+        let told = &json["settings"];
+        if !told.is_object() {
+            return Err("'settings' is missing".into());
+        }
+        let settings = gaugestep::wire::settings(told)?;
+        settings.validate().map_err(|error| error.to_string())?;
+        let address = |key: &str| -> Result<Option<SocketAddr>, String> {
+            match &json[key] {
+                Value::Null => Ok(None),
+                Value::String(text) => {
+                    text.parse().map(Some).map_err(|_| format!("'{key}' is '{text}', no address"))
+                }
+                other => Err(format!("'{key}' is {other}, not a text")),
+            }
+        };
+        let seed = match &json["seed"] {
+            Value::Null => 0,
+            Value::Number(number) => number.as_u64().ok_or("'seed' is out of range")?,
+            Value::String(text) => u64::from_str_radix(text, 16)
+                .map_err(|_| format!("'seed' is '{text}', not a hexadecimal number"))?,
+            other => return Err(format!("'seed' is {other}, no number")),
+        };
+        let whole = |object: &Value, key: &str, absent: u64| match &object[key] {
+            Value::Null => Ok(absent),
+            value => value
+                .as_f64()
+                .filter(|number| *number >= 0.0)
+                .map(|number| number as u64)
+                .ok_or_else(|| format!("'{key}' is {value}, not a number of 0 or more")),
+        };
+        let limits = Limits {
+            descriptors: whole(&json["limits"], "sockets", 1024)? as usize,
+            multiplex: (whole(&told["limits"], "multiplex", 100)? as usize).max(1),
+            dial_timeout_ms: whole(&told["limits"], "dial_timeout_ms", 250)?.max(1),
+            idle_ms: whole(&told["limits"], "conn_idle_ms", 30_000)?,
+            max_open: whole(&told["limits"], "max_open", 20_000)? as usize,
+        };
+        if limits.descriptors < 64 {
+            return Err("'limits.sockets' must be 64 or more".into());
+        }
+        let known = &json["known"];
+        let known_index = whole(known, "index", 0)?;
+        Ok(Config {
+            name: json["name"].as_str().unwrap_or("gaugestep").to_owned(),
+            listen: address("listen")?.ok_or("'listen' is missing")?,
+            seed,
+            coordinator: address("coordinator")?,
+            known_index,
+            known: known["updates"].as_array().cloned().unwrap_or_default(),
+            settings,
+            names: Names {
+                classes: named(told, "services"),
+                tenants: named(told, "orgs"),
+                zones: named(told, "areas"),
+                machines: named(told, "kinds"),
+            },
+            limits,
+        })
+    }
+}
+
+/// The names in a list of names, or of objects that have one.
+fn named(json: &Value, key: &str) -> Vec<String> {
+    let name = |entry: &Value| entry.as_str().or(entry["name"].as_str()).unwrap_or_default().to_owned();
+    json[key].as_array().map_or_else(Vec::new, |all| all.iter().map(name).collect())
+}
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,399 @@
+//! The decision module in blocking style: [`Facade::pick`], [`Facade::report`] and [`Facade::tick`].
+//!
+//! The facade owns the dispatcher, its clock and its timers, and turns the module's actions into letters to
+//! the coroutines concerned. Each request has one [`Mailbox`]; whatever reaches its coroutine comes through it.
+//! Nothing is decided here.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use gaugestep::interface::*;
+use gaugestep::{Action, Dispatcher, Event, Settings};
+use may::sync::mpsc::{Receiver, Sender, channel};
+
+/// What reaches a request's coroutine. `Back` is whatever the databases' side has to say of an attempt.
+#[derive(Debug)]
+pub enum Letter<Back> {
+    /// The module sends the request to an engine.
+    Send(Sending),
+    /// The module calls an attempt off.
+    Cancel(AttemptNo),
+    /// The module gives what runs another priority.
+    Priority(u8),
+    /// The module's final answer: refused; milliseconds to stay away.
+    Refuse(Millis),
+    /// The module's final answer: failed.
+    Fail,
+    /// The deadline has come while this attempt was out.
+    Deadline(AttemptNo),
+    /// The client has left.
+    ClientGone,
+    /// News of an attempt from the databases' side.
+    Back(AttemptNo, Back),
+}
+
+/// One attempt that the module wants made.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sending {
+    /// Where to.
+    pub engine: EngineId,
+    /// Its number.
+    pub attempt: AttemptNo,
+    /// Its priority, where the engines heed one.
+    pub priority: Option<u8>,
+}
+
+/// What a request's coroutine has to do next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Step {
+    /// Make this attempt, then [`Facade::report`] its end.
+    Send(Sending),
+    /// Refuse it; the client should stay away for so many milliseconds.
+    Refuse(Millis),
+    /// Fail it.
+    Fail,
+    /// Nothing: the request is over.
+    Over,
+}
+
+/// How an attempt ended, in the module's terms.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptReport {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// What it needed.
+    pub cost: Option<Cost>,
+    /// The engine's load.
+    pub load: Option<LoadReport>,
+}
+
+/// The receiving end of a request's letters.
+pub struct Mailbox<Back> {
+    letters: Receiver<Letter<Back>>,
+    post: Sender<Letter<Back>>,
+}
+
+impl<Back> Mailbox<Back> {
+    /// An empty mailbox.
+    pub fn new() -> Self {
+        let (post, letters) = channel();
+        Mailbox { letters, post }
+    }
+
+    /// An address to write to it.
+    pub fn address(&self) -> Sender<Letter<Back>> {
+        self.post.clone()
+    }
+
+    /// Blocks the coroutine until a letter comes.
+    pub fn next(&self) -> Letter<Back> {
+        // The mailbox holds a sender of its own, so the channel cannot close under it.
+        self.letters.recv().unwrap_or(Letter::ClientGone)
+    }
+}
+
+/// A request as the facade keeps it.
+struct Entry<Back> {
+    post: Sender<Letter<Back>>,
+    due: Millis,
+    /// Answered, or left by its client.
+    over: bool,
+    /// The attempt that is out, where and since when.
+    out: Option<(AttemptNo, EngineId, Millis)>,
+    /// Attempts sent so far.
+    sent: usize,
+    priority: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Deadline(RequestId),
+    Timer(TimerId),
+}
+
+struct Inner<Back> {
+    dispatcher: Dispatcher,
+    requests: BTreeMap<RequestId, Entry<Back>>,
+    /// Microseconds of the clock, and what is due then.
+    alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
+    logs: Vec<String>,
+}
+
+/// The dispatcher, its clock and its timers.
+pub struct Facade<Back> {
+    inner: Mutex<Inner<Back>>,
+    started: Instant,
+    /// Unix time of the clock's zero, in milliseconds.
+    epoch: Millis,
+    max_attempts: usize,
+    priorities: bool,
+    /// The coroutine that calls [`Facade::tick`], and when it will next, in microseconds.
+    ticker: Mutex<(Option<may::coroutine::Coroutine>, u64)>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<Back> Facade<Back> {
+    /// A facade of a new dispatcher whose clock starts now.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        let (max_attempts, priorities) = (settings.max_attempts.max(1), settings.priorities);
+        let inner = Inner {
+            dispatcher: Dispatcher::new(settings, seed)?,
+            requests: BTreeMap::new(),
+            alarms: BinaryHeap::new(),
+            logs: Vec::new(),
+        };
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Ok(Facade {
+            inner: Mutex::new(inner),
+            started: Instant::now(),
+            epoch: unix.as_secs_f64() * 1e3,
+            max_attempts,
+            priorities,
+            ticker: Mutex::new((None, u64::MAX)),
+        })
+    }
+
+    /// The module's clock.
+    pub fn now(&self) -> Millis {
+        self.started.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// A Unix time in milliseconds on the module's clock. It may lie before the clock's zero.
+    pub fn from_unix(&self, unix_ms: Millis) -> Millis {
+        unix_ms - self.epoch
+    }
+
+    /// Hands a new request to the module and blocks until there is something to do for it.
+    pub fn pick(&self, new: NewRequest, mailbox: &Mailbox<Back>) -> Step {
+        let id = new.id.clone();
+        let mut inner = lock(&self.inner);
+        let entry =
+            Entry { post: mailbox.address(), due: new.due, over: false, out: None, sent: 0, priority: 1 };
+        inner.alarms.push(Reverse((micros(new.due), Alarm::Deadline(id.clone()))));
+        inner.requests.insert(id.clone(), entry);
+        self.feed(inner, Event::Arrived(new));
+        self.wait(&id, mailbox)
+    }
+
+    /// Tells the module how an attempt ended and blocks until there is something further to do.
+    pub fn report(&self, id: &RequestId, end: AttemptReport, mailbox: &Mailbox<Back>) -> Step {
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        let Some(entry) = inner.requests.get_mut(id) else { return Step::Over };
+        let Some((attempt, engine, sent)) = entry.out.take() else { return Step::Over };
+        let over_before = entry.over;
+        entry.over |= end.outcome == Outcome::Served;
+        let over = entry.over;
+        if over {
+            inner.requests.remove(id);
+        }
+        self.feed(
+            inner,
+            Event::Ended(AttemptEnd {
+                id: id.clone(),
+                attempt,
+                engine,
+                outcome: end.outcome,
+                finished: over,
+                elapsed: now - sent,
+                cost: end.cost,
+                load: end.load,
+            }),
+        );
+        if over || over_before { Step::Over } else { self.wait(id, mailbox) }
+    }
+
+    /// Passes on what an engine tells of a running attempt.
+    pub fn noted(&self, id: &RequestId, attempt: AttemptNo, note: Note) {
+        self.feed(lock(&self.inner), Event::Noted(id.clone(), attempt, note));
+    }
+
+    /// The client has left: nothing is owed any more. What runs is called off by letter.
+    pub fn client_gone(&self, id: &RequestId) {
+        let mut inner = lock(&self.inner);
+        let Some(entry) = inner.requests.get_mut(id) else { return };
+        entry.over = true;
+        if entry.out.is_none() {
+            inner.requests.remove(id);
+        }
+        self.feed(inner, Event::ClientGone(id.clone()));
+    }
+
+    /// Tells of the list of engines, or of changes to it.
+    pub fn engines(&self, entries: Vec<EngineEntry>, whole: bool) {
+        let event = if whole { Event::EngineList(entries) } else { Event::EngineChanges(entries) };
+        self.feed(lock(&self.inner), event);
+    }
+
+    /// Fires what is due.
+    pub fn tick(&self) {
+        loop {
+            let now = self.now();
+            let mut inner = lock(&self.inner);
+            let due = inner.alarms.peek().is_some_and(|Reverse((at, _))| *at <= micros(now));
+            let Some(Reverse((_, alarm))) = (if due { inner.alarms.pop() } else { None }) else { return };
+            match alarm {
+                Alarm::Timer(timer) => self.feed(inner, Event::Timer(timer)),
+                Alarm::Deadline(id) => {
+                    let Some(entry) = inner.requests.get(&id) else { continue };
+                    if let Some((attempt, ..)) = entry.out.filter(|_| !entry.over) {
+                        let _ = entry.post.send(Letter::Deadline(attempt));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Calls [`Facade::tick`] for good, whenever something is due.
+    pub fn run_ticker(&self) {
+        lock(&self.ticker).0 = Some(may::coroutine::current());
+        loop {
+            let now = micros(self.now());
+            let next = lock(&self.inner).alarms.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+            lock(&self.ticker).1 = next;
+            // Whole milliseconds: may keeps a list for every length of time that was ever waited for.
+            let wait = next.saturating_sub(now).div_ceil(1_000).clamp(1, 1_000);
+            if next > now {
+                may::coroutine::park_timeout(Duration::from_millis(wait));
+            }
+            self.tick();
+        }
+    }
+
+    /// Blocks until the module has something to do for a request of which nothing is out.
+    fn wait(&self, id: &RequestId, mailbox: &Mailbox<Back>) -> Step {
+        loop {
+            match mailbox.next() {
+                Letter::Send(sending) => return Step::Send(sending),
+                Letter::Refuse(backoff) => return Step::Refuse(backoff),
+                Letter::Fail => return Step::Fail,
+                Letter::ClientGone => {
+                    self.client_gone(id);
+                    // The module may have sent it just before: that attempt is owed an end.
+                    while let Some(sending) = self.unstarted(id) {
+                        tracing::debug!(attempt = sending.0, "called off before it was sent");
+                        let end = AttemptReport { outcome: Outcome::Moot, cost: None, load: None };
+                        self.report(id, end, mailbox);
+                    }
+                    return Step::Over;
+                }
+                // What is left of attempts that have ended.
+                Letter::Cancel(_) | Letter::Priority(_) | Letter::Deadline(_) | Letter::Back(..) => {}
+            }
+        }
+    }
+
+    fn unstarted(&self, id: &RequestId) -> Option<AttemptNo> {
+        lock(&self.inner).requests.get(id).and_then(|entry| entry.out).map(|(attempt, ..)| attempt)
+    }
+
+    /// Hands an event to the module and carries out its actions; then lets go of the lock and logs.
+    fn feed(&self, mut inner: MutexGuard<'_, Inner<Back>>, event: Event) {
+        let now = self.now();
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            inner.dispatcher.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                if let Some(moot) = self.carry_out(&mut inner, now, action) {
+                    events.push_back(moot);
+                }
+            }
+        }
+        let next = inner.alarms.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+        let logs = std::mem::take(&mut inner.logs);
+        drop(inner);
+        let ticker = lock(&self.ticker);
+        if next < ticker.1 {
+            if let Some(coroutine) = &ticker.0 {
+                coroutine.unpark();
+            }
+        }
+        drop(ticker);
+        for text in logs {
+            tracing::info!("module: {text}");
+        }
+    }
+
+    /// Carries out one action; the event is the end of an attempt that could not be sent at all.
+    fn carry_out(&self, inner: &mut Inner<Back>, now: Millis, action: Action) -> Option<Event> {
+        match action {
+            Action::Send { id, engine } => {
+                let entry = inner.requests.get_mut(&id);
+                let sendable = |entry: &Entry<Back>| {
+                    !entry.over && entry.out.is_none() && entry.sent < self.max_attempts && now < entry.due
+                };
+                let attempt = AttemptNo(entry.as_ref().map_or(0, |entry| entry.sent));
+                match entry {
+                    Some(entry) if sendable(entry) => {
+                        entry.sent += 1;
+                        entry.out = Some((attempt, engine, now));
+                        let priority = self.priorities.then_some(entry.priority);
+                        let _ = entry.post.send(Letter::Send(Sending { engine, attempt, priority }));
+                    }
+                    entry => {
+                        let finished = entry.as_ref().is_none_or(|entry| entry.over);
+                        if let Some(entry) = entry {
+                            entry.sent += 1;
+                        }
+                        return Some(Event::Ended(AttemptEnd {
+                            id,
+                            attempt,
+                            engine,
+                            outcome: Outcome::Moot,
+                            finished,
+                            elapsed: 0.0,
+                            cost: None,
+                            load: None,
+                        }));
+                    }
+                }
+            }
+            Action::Cancel { id, attempt } => {
+                let entry = inner.requests.get(&id);
+                if let Some(entry) = entry.filter(|entry| entry.out.is_some_and(|(out, ..)| out == attempt)) {
+                    let _ = entry.post.send(Letter::Cancel(attempt));
+                }
+            }
+            Action::Refuse { id, retry_after } => Self::answer(inner, &id, Letter::Refuse(retry_after)),
+            Action::Fail { id } => Self::answer(inner, &id, Letter::Fail),
+            Action::SetTerms { id, priority, .. } => {
+                if let Some(entry) = inner.requests.get_mut(&id) {
+                    if entry.out.is_some() && entry.priority != priority {
+                        let _ = entry.post.send(Letter::Priority(priority));
+                    }
+                    entry.priority = priority;
+                }
+            }
+            Action::SetTimer { timer, delay } => {
+                inner.alarms.push(Reverse((micros(now + delay), Alarm::Timer(timer))));
+            }
+            Action::Log(text) => inner.logs.push(text),
+        }
+        None
+    }
+
+    fn answer(inner: &mut Inner<Back>, id: &RequestId, letter: Letter<Back>) {
+        let Some(entry) = inner.requests.get_mut(id).filter(|entry| !entry.over) else { return };
+        entry.over = true;
+        let _ = entry.post.send(letter);
+        if entry.out.is_none() {
+            inner.requests.remove(id);
+        }
+    }
+}
+
+/// Whole microseconds, rounded up: an alarm never goes off before its time.
+fn micros(at: Millis) -> u64 {
+    (at.max(0.0) * 1e3).ceil() as u64
+}
+
+/// The name of a request.
+pub fn request_id(text: &str) -> RequestId {
+    RequestId(Arc::from(text))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,83 @@
-//! The real proxy.
+//! The real proxy: command line and logging.
 
-fn main() {
-    println!("gaugestep {}: the proxy is not built yet", env!("CARGO_PKG_VERSION"));
+mod config;
+mod facade;
+mod net;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use config::Config;
+
+/// A proxy before query engines: cuts stragglers past a learned timeout and relaunches them once.
+#[derive(Parser)]
+#[command(name = "gaugestep", disable_version_flag = true)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the proxy in the foreground until SIGTERM.
+    Serve {
+        /// The configuration.
+        #[arg(long, env = "EDGE_CONFIG")]
+        config: PathBuf,
+    },
+    /// Reads a configuration and says whether it can be used.
+    CheckConfig {
+        /// The configuration.
+        #[arg(env = "EDGE_CONFIG")]
+        config: PathBuf,
+    },
+    /// Prints the version.
+    Version,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Serve { config } => serve(&config),
+        Command::CheckConfig { config } => Config::load(&config).map(|config| {
+            println!("{}: can be used; listens on {}", config.name, config.listen);
+        }),
+        Command::Version => {
+            println!("gaugestep {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("gaugestep: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(config: &std::path::Path) -> Result<(), String> {
+    let config = Config::load(config)?;
+    // Lines are written by a thread of their own, so that a slow reader of the log stops no coroutine.
+    let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(4096)
+        .finish(std::io::stderr());
+    let filter = tracing_subscriber::EnvFilter::try_from_env("GAUGESTEP_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("gaugestep=info"));
+    tracing_subscriber::fmt().with_writer(writer).with_env_filter(filter).with_ansi(false).init();
+    net::task::set_up();
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT]).map_err(|error| format!("cannot take signals: {error}"))?;
+    let name = config.name.clone();
+    let server = net::server::Server::start(config)?;
+    tracing::info!(name, "serving");
+    if let Some(signal) = signals.forever().next() {
+        tracing::info!(signal, "draining");
+        server.drain();
+        tracing::info!("done");
+    }
+    Ok(())
 }
--- /dev/null
+++ b/src/net/back/lines.rs
@@ -0,0 +1,565 @@
+//! Connections to databases: lines of words, many requests on each connection.
+//!
+//! Each database has a pool of connections, each connection one coroutine. Whoever sends or cancels leaves the
+//! bytes with the connection and wakes its coroutine.
+
+use std::collections::HashMap;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
+
+use gaugestep::interface::{AttemptNo, Cost, EngineId, LoadReport, Note, RequestId};
+use may::io::WaitIo as _;
+use may::net::TcpStream;
+
+use crate::config::{Limits, Names};
+use crate::facade::{Letter, Sending};
+use crate::net::ending::Ending;
+use crate::net::stream::{Filled, Outbox, Stream, Waker, fill};
+use crate::net::{AttemptEnding, News, Pages, Post, Query, lock, task};
+
+/// The longest line that a database may send, and the longest page.
+const LONGEST_LINE: usize = 4 * 1024;
+const LONGEST_PAGE: usize = 16 * 1024;
+/// The most pages of a result.
+const MOST_PAGES: usize = 64;
+/// A connection with requests out that has been silent for so long is checked...
+const CHECK_AFTER: Duration = Duration::from_millis(1_000);
+/// ...and given up if the check brings nothing for so long.
+const CHECK_WITHIN: Duration = Duration::from_millis(1_500);
+/// How often connections are looked at.
+const SWEEP: Duration = Duration::from_millis(100);
+/// Bytes that may wait for a database that does not read.
+const MOST_WAITING: usize = 1024 * 1024;
+
+/// All connections to databases.
+pub struct Lines {
+    limits: Limits,
+    names: Names,
+    /// Descriptors for connections to databases.
+    budget: usize,
+    pools: Mutex<HashMap<EngineId, Pool>>,
+}
+
+/// The connections to one database.
+struct Pool {
+    address: SocketAddr,
+    /// False once it drains or is gone: nothing new goes to it.
+    accepting: bool,
+    connections: Vec<Arc<Connection>>,
+}
+
+/// One connection.
+struct Connection {
+    state: Mutex<State>,
+    waker: OnceLock<Waker>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Dialing,
+    Up,
+    Closed,
+}
+
+struct State {
+    phase: Phase,
+    out: Outbox,
+    calls: HashMap<String, Call>,
+    heard: Instant,
+    /// When the last check went out that nothing has followed.
+    checked: Option<Instant>,
+    /// Set to have the connection closed.
+    close: Option<Ending>,
+}
+
+/// One attempt on a connection.
+struct Call {
+    post: Post,
+    attempt: AttemptNo,
+    /// What to send once the connection is up.
+    unsent: Option<(Arc<Query>, Option<u8>, Instant)>,
+    /// Where its command begins in all that is written.
+    begins: u64,
+    /// The result so far, once its end is known.
+    result: Option<PartResult>,
+}
+
+struct PartResult {
+    end: AttemptEnding,
+    missing: usize,
+}
+
+/// A way to reach an attempt that is out.
+pub struct Handle {
+    connection: Option<Arc<Connection>>,
+    id: RequestId,
+}
+
+impl Lines {
+    /// No connections yet; `budget` descriptors may be used.
+    pub fn new(limits: Limits, names: Names, budget: usize) -> Self {
+        Lines { limits, names, budget, pools: Mutex::new(HashMap::new()) }
+    }
+
+    /// A database is listed at this address. Unless `accepting`, nothing new goes to it from now on: what waits
+    /// for its connection is turned back.
+    pub fn listed(&self, engine: EngineId, address: Option<SocketAddr>, accepting: bool) {
+        let mut pools = lock(&self.pools);
+        match (pools.get_mut(&engine), address) {
+            (Some(pool), address) => {
+                pool.accepting = accepting;
+                if let Some(address) = address.filter(|address| *address != pool.address) {
+                    pool.address = address;
+                }
+                if !accepting {
+                    for connection in &pool.connections {
+                        connection.turn_back();
+                    }
+                }
+            }
+            (None, Some(address)) => {
+                pools.insert(engine, Pool { address, accepting, connections: Vec::new() });
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Databases that a whole list does not name are gone.
+    pub fn only(&self, engines: &[EngineId]) {
+        for (engine, pool) in lock(&self.pools).iter_mut() {
+            if !engines.contains(engine) {
+                pool.accepting = false;
+                for connection in &pool.connections {
+                    connection.turn_back();
+                }
+            }
+        }
+    }
+
+    /// Starts an attempt; its news go to `post`. `left` is how long the client still waits.
+    pub fn send(
+        self: &Arc<Self>,
+        sending: Sending,
+        query: &Arc<Query>,
+        left: Duration,
+        post: Post,
+    ) -> Handle {
+        let id = query.new.id.clone();
+        let mut call = Some(Call {
+            post,
+            attempt: sending.attempt,
+            unsent: Some((query.clone(), sending.priority, Instant::now() + left)),
+            begins: 0,
+            result: None,
+        });
+        let connection = self.connection(sending.engine);
+        if let Some(connection) = &connection {
+            let mut state = lock(&connection.state);
+            if state.phase != Phase::Closed {
+                if let Some(call) = call.take() {
+                    state.calls.insert(id.0.to_string(), call);
+                }
+                if state.phase == Phase::Up {
+                    state.write_unsent(&self.names);
+                }
+            }
+            drop(state);
+            connection.wake();
+        }
+        if let Some(call) = call {
+            call.end(Ending::NeverWritten.into());
+        }
+        Handle { connection, id }
+    }
+
+    /// The connection for one more attempt, a new one if need be.
+    fn connection(self: &Arc<Self>, engine: EngineId) -> Option<Arc<Connection>> {
+        let mut pools = lock(&self.pools);
+        let engines = pools.values().filter(|pool| pool.accepting).count().max(1);
+        let most = (self.budget / engines).max(1);
+        let held: usize = pools.values().map(|pool| pool.connections.len()).sum();
+        let pool = pools.get_mut(&engine).filter(|pool| pool.accepting)?;
+        let carried = |connection: &Arc<Connection>| {
+            let state = lock(&connection.state);
+            (state.phase != Phase::Closed && state.close.is_none()).then_some(state.calls.len())
+        };
+        let least = pool.connections.iter().filter_map(|c| Some((carried(c)?, c))).min_by_key(|(n, _)| *n);
+        match least {
+            Some((calls, connection)) if calls < self.limits.multiplex => return Some(connection.clone()),
+            _ if pool.connections.len() >= most || held >= self.budget => return None,
+            _ => {}
+        }
+        let connection = Arc::new(Connection::new());
+        pool.connections.push(connection.clone());
+        let (lines, address, owned) = (self.clone(), pool.address, connection.clone());
+        drop(pools);
+        let spawned = task::spawn("database", move || owned.run(&lines, engine, address));
+        if let Err(error) = spawned {
+            tracing::error!("no coroutine for a connection: {error}");
+            self.forget(engine, &connection);
+            return None;
+        }
+        Some(connection)
+    }
+
+    fn forget(&self, engine: EngineId, connection: &Arc<Connection>) {
+        let mut pools = lock(&self.pools);
+        if let Some(pool) = pools.get_mut(&engine) {
+            pool.connections.retain(|other| !Arc::ptr_eq(other, connection));
+            if !pool.accepting && pool.connections.is_empty() {
+                pools.remove(&engine);
+            }
+        }
+    }
+
+    /// Checks silent connections and closes idle ones, for good.
+    pub fn run_sweeper(&self) {
+        // Ahead of the databases, which close idle connections too: a send must not cross their close.
+        let idle = Duration::from_millis(self.limits.idle_ms * 2 / 3);
+        loop {
+            may::coroutine::sleep(SWEEP);
+            let connections: Vec<_> =
+                lock(&self.pools).values().flat_map(|pool| pool.connections.clone()).collect();
+            for connection in connections {
+                if lock(&connection.state).look_over(idle) {
+                    connection.wake();
+                }
+            }
+        }
+    }
+}
+
+impl Handle {
+    /// Gives the attempt up.
+    pub fn cancel(&self) {
+        let Some(connection) = &self.connection else { return };
+        let mut state = lock(&connection.state);
+        let Some(call) = state.calls.remove(&*self.id.0) else { return };
+        if call.unsent.is_none() {
+            let word = if call.result.is_some() { "release" } else { "cancel" };
+            let _ = write!(state.out.buffer(), "{word} {}\r\n", self.id.0);
+        }
+        drop(state);
+        connection.wake();
+    }
+
+    /// Gives the attempt another priority.
+    pub fn weigh(&self, priority: u8) {
+        let Some(connection) = &self.connection else { return };
+        let mut state = lock(&connection.state);
+        let Some(call) = state.calls.get_mut(&*self.id.0) else { return };
+        match &mut call.unsent {
+            Some((_, band, _)) => *band = Some(priority),
+            None if call.result.is_none() => {
+                let _ = write!(state.out.buffer(), "weigh {} {priority}\r\n", self.id.0);
+            }
+            None => {}
+        }
+        drop(state);
+        connection.wake();
+    }
+}
+
+impl Call {
+    fn end(self, end: AttemptEnding) {
+        let _ = self.post.send(Letter::Back(self.attempt, News::Ended(end)));
+    }
+}
+
+impl State {
+    /// Writes the commands of all that waited for the connection.
+    fn write_unsent(&mut self, names: &Names) {
+        let now = Instant::now();
+        if self.calls.values().all(|call| call.unsent.is_none()) {
+            return;
+        }
+        if self.calls.values().all(|call| call.unsent.is_some()) {
+            // Nothing was expected so far, so its silence means nothing.
+            self.heard = now;
+        }
+        for (id, call) in &mut self.calls {
+            let Some((query, priority, due)) = call.unsent.take() else { continue };
+            call.begins = self.out.end();
+            let budget = due.saturating_duration_since(now).as_millis().max(1);
+            let class = names.classes.get(query.new.class.0).map_or("", String::as_str);
+            let out = self.out.buffer();
+            let _ = write!(out, "serve {id} queue={class},budget={budget}");
+            if let Some(priority) = priority {
+                let _ = write!(out, ",band={priority}");
+            }
+            let _ = write!(out, " {}\r\n", query.statement.len());
+            out.extend_from_slice(&query.statement);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+
+    /// Whether the connection's coroutine has something to do by now.
+    fn look_over(&mut self, idle: Duration) -> bool {
+        let silent = self.heard.elapsed();
+        if self.phase != Phase::Up || self.close.is_some() {
+            return false;
+        }
+        if self.calls.is_empty() {
+            self.checked = None;
+            if silent >= idle {
+                self.close = Some(Ending::Closed);
+            }
+            return self.close.is_some();
+        }
+        match self.checked {
+            Some(at) if at.elapsed() >= CHECK_WITHIN => self.close = Some(Ending::Silent),
+            None if silent >= CHECK_AFTER => {
+                self.checked = Some(Instant::now());
+                self.out.buffer().extend_from_slice(b"health check\r\n");
+            }
+            _ => return false,
+        }
+        true
+    }
+}
+
+impl Connection {
+    fn new() -> Self {
+        let state = State {
+            phase: Phase::Dialing,
+            out: Outbox::default(),
+            calls: HashMap::new(),
+            heard: Instant::now(),
+            checked: None,
+            close: None,
+        };
+        Connection { state: Mutex::new(state), waker: OnceLock::new() }
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.waker.get() {
+            waker.wakeup();
+        }
+    }
+
+    /// Turns back what still waits for the connection to come up.
+    fn turn_back(&self) {
+        let mut state = lock(&self.state);
+        let waiting: Vec<String> =
+            state.calls.iter().filter(|(_, call)| call.unsent.is_some()).map(|(id, _)| id.clone()).collect();
+        for id in waiting {
+            if let Some(call) = state.calls.remove(&id) {
+                call.end(Ending::NeverWritten.into());
+            }
+        }
+    }
+
+    /// The life of the connection.
+    fn run(self: Arc<Self>, lines: &Lines, engine: EngineId, address: SocketAddr) {
+        let within = Duration::from_millis(lines.limits.dial_timeout_ms);
+        let ending = match TcpStream::connect_timeout(&address, within) {
+            Ok(stream) => {
+                let _ = stream.set_nodelay(true);
+                let _ = self.waker.set(stream.waker());
+                let mut state = lock(&self.state);
+                state.phase = Phase::Up;
+                state.heard = Instant::now();
+                state.write_unsent(&lines.names);
+                drop(state);
+                self.carry(&stream)
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Ending::DialTimedOut,
+            Err(_) => Ending::DialRefused,
+        };
+        lines.forget(engine, &self);
+        let mut state = lock(&self.state);
+        state.phase = Phase::Closed;
+        let (written, calls) = (state.out.written(), std::mem::take(&mut state.calls));
+        drop(state);
+        tracing::debug!(engine = engine.0, ?ending, open = calls.len(), "connection over");
+        for (_, call) in calls {
+            // Guards the unsafe class: what was never begun on this connection has not run.
+            let begun = call.unsent.is_none() && call.begins < written;
+            let dialled = !matches!(ending, Ending::DialRefused | Ending::DialTimedOut);
+            call.end(if dialled && !begun { Ending::NeverWritten } else { ending }.into());
+        }
+    }
+
+    /// Reads and writes until the connection ends.
+    fn carry(&self, stream: &TcpStream) -> Ending {
+        let mut input = Vec::new();
+        loop {
+            loop {
+                match fill(stream.socket(), &mut input) {
+                    Ok(Filled::Some) => match self.take(&input) {
+                        Ok(taken) => drop(input.drain(..taken)),
+                        Err(ending) => return ending,
+                    },
+                    Ok(Filled::Nothing) => break,
+                    Ok(Filled::Closed) => return Ending::Closed,
+                    Err(_) => return Ending::Reset,
+                }
+            }
+            let mut state = lock(&self.state);
+            if let Some(ending) = state.close {
+                return ending;
+            }
+            if state.out.flush(stream.socket()).is_err() {
+                return Ending::Reset;
+            }
+            if state.out.waiting() > MOST_WAITING {
+                return Ending::Silent;
+            }
+            drop(state);
+            stream.wait_io();
+        }
+    }
+
+    /// Takes all whole answers off the front of `input`; the number of bytes taken.
+    fn take(&self, input: &[u8]) -> Result<usize, Ending> {
+        let mut at = 0;
+        let mut state = lock(&self.state);
+        state.heard = Instant::now();
+        state.checked = None;
+        while let Some(answer) = Message::parse(&input[at..])? {
+            at += answer.length;
+            state.answered(&answer)?;
+        }
+        Ok(at)
+    }
+}
+
+/// One answer, in the buffer that it was read into.
+struct Message<'a> {
+    id: &'a str,
+    word: &'a str,
+    fields: &'a str,
+    body: &'a [u8],
+    /// Bytes of the whole.
+    length: usize,
+}
+
+impl<'a> Message<'a> {
+    /// The first answer in `input`, if it is whole.
+    fn parse(input: &'a [u8]) -> Result<Option<Self>, Ending> {
+        let Some(end) = input.windows(2).take(LONGEST_LINE).position(|pair| pair == b"\r\n") else {
+            return if input.len() > LONGEST_LINE { Err(Ending::Garbled) } else { Ok(None) };
+        };
+        let line = std::str::from_utf8(&input[..end]).map_err(|_| Ending::Garbled)?;
+        let mut words = line.split(' ');
+        let (Some(id), Some(word), Some(fields), Some(length), None) =
+            (words.next(), words.next(), words.next(), words.next(), words.next())
+        else {
+            tracing::warn!(line, "no answer");
+            return Err(Ending::Garbled);
+        };
+        let body: usize = length.parse().map_err(|_| Ending::Garbled)?;
+        if body > LONGEST_PAGE {
+            return Err(Ending::Garbled);
+        }
+        let (from, to) = (end + 2, end + 2 + body);
+        if input.len() < to + 2 {
+            return Ok(None);
+        }
+        if &input[to..to + 2] != b"\r\n" {
+            return Err(Ending::Garbled);
+        }
+        Ok(Some(Message { id, word, fields, body: &input[from..to], length: to + 2 }))
+    }
+
+    fn field(&self, name: &str) -> Option<&'a str> {
+        let pairs = self.fields.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+    }
+
+    fn number(&self, name: &str) -> Option<f64> {
+        self.field(name)?.parse().ok().filter(|number: &f64| number.is_finite())
+    }
+
+    fn load(&self) -> Option<LoadReport> {
+        let mut load = LoadReport::default();
+        for (name, value) in self.field("use")?.split(';').filter_map(|pair| pair.split_once(':')) {
+            let value = value.parse().ok().filter(|number: &f64| number.is_finite());
+            match name {
+                "rif" | "inflight" => load.held = value,
+                "q" | "queue" => load.queued = value,
+                "busy" | "util" => load.busy = value,
+                "x0" => load.memory = value,
+                _ => {}
+            }
+        }
+        Some(load)
+    }
+
+    fn cost(&self) -> Option<Cost> {
+        let work = self.number("elapsed")?;
+        Some(Cost { work, memory_mb: self.number("rss").unwrap_or(0.0) })
+    }
+
+    fn note(&self) -> Option<Note> {
+        let amount = self.number("datum").unwrap_or(0.0);
+        match self.field("detail")? {
+            "done" => Some(Note::Done(amount)),
+            "spills" => Some(Note::Spills(amount)),
+            "waits" if amount == 2.0 => Some(Note::WaitsForLoad),
+            "waits" => Some(Note::WaitsForMemory),
+            _ => None,
+        }
+    }
+}
+
+impl State {
+    /// Carries out what one answer means for its call. Answers to what was given up are passed over.
+    fn answered(&mut self, answer: &Message) -> Result<(), Ending> {
+        if answer.word == "PONG" {
+            return Ok(());
+        }
+        let Some(call) = self.calls.get_mut(answer.id) else { return Ok(()) };
+        let ending = match answer.word {
+            "INFO" => {
+                if let Some(note) = answer.note() {
+                    let _ = call.post.send(Letter::Back(call.attempt, News::Note(note)));
+                }
+                return Ok(());
+            }
+            "HIT" => {
+                let total = answer.number("total").unwrap_or(1.0).max(1.0) as usize;
+                if total > MOST_PAGES || call.result.is_some() {
+                    return Err(Ending::Garbled);
+                }
+                let mut pages: Pages = vec![Vec::new(); total];
+                pages[0] = answer.body.to_vec();
+                let (cost, load) = (answer.cost(), answer.load());
+                let end = AttemptEnding { ending: Ending::Served, cost, load, pages };
+                call.result = Some(PartResult { end, missing: total - 1 });
+                for page in 1..total {
+                    let _ = write!(self.out.buffer(), "read {} {page}\r\n", answer.id);
+                }
+                if total > 1 {
+                    return Ok(());
+                }
+                Ending::Served
+            }
+            "PART" => {
+                let index = answer.number("index").ok_or(Ending::Garbled)? as usize;
+                let Some(result) = &mut call.result else { return Err(Ending::Garbled) };
+                let page = result.end.pages.get_mut(index).filter(|page| index > 0 && page.is_empty());
+                *page.ok_or(Ending::Garbled)? = answer.body.to_vec();
+                result.missing -= 1;
+                if result.missing > 0 {
+                    return Ok(());
+                }
+                Ending::Served
+            }
+            "SHED" => Ending::Shed,
+            "LATE" => Ending::Late,
+            "FAULT" => Ending::Fault,
+            _ => return Err(Ending::Garbled),
+        };
+        let Some(call) = self.calls.remove(answer.id) else { return Ok(()) };
+        let Call { post, attempt, result, .. } = call;
+        let end = match result {
+            Some(result) if ending == Ending::Served => result.end,
+            _ => AttemptEnding { load: answer.load(), ..ending.into() },
+        };
+        let _ = post.send(Letter::Back(attempt, News::Ended(end)));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/back/mod.rs
@@ -0,0 +1,3 @@
+//! The databases' side.
+
+pub mod lines;
--- /dev/null
+++ b/src/net/coordinator.rs
@@ -0,0 +1,260 @@
+//! The coordinator: which databases there are, as server-sent events.
+
+use std::collections::HashMap;
+use std::io::{self, Read as _, Write as _};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use gaugestep::interface::{CellId, EngineEntry, EngineId, MachineId, Readiness, ZoneId};
+use may::net::TcpStream;
+use serde_json::Value;
+
+use super::lock;
+use super::relay::Gateway;
+
+/// A comment comes each second: silence for longer means that the connection is dead.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Between tries to connect.
+const PAUSE: Duration = Duration::from_millis(200);
+/// The longest line of the stream.
+const LONGEST: usize = 4 * 1024 * 1024;
+
+/// The list of databases as the coordinator tells it.
+pub struct Roster {
+    gateway: Arc<Gateway>,
+    /// The number of the last event, and the module's numbers of the databases.
+    known: Mutex<(u64, HashMap<String, EngineId>)>,
+}
+
+impl Roster {
+    /// A roster that has seen events up to `index`.
+    pub fn new(gateway: Arc<Gateway>, index: u64) -> Self {
+        Roster { gateway, known: Mutex::new((index, HashMap::new())) }
+    }
+
+    /// Applies one event. What cannot be read is logged and passed over.
+    pub fn apply(&self, event: &Value) {
+        let endpoints = &event["endpoints"];
+        let whole = endpoints["complete"].as_bool().unwrap_or(false);
+        let Some(members) = endpoints["members"].as_array() else {
+            return tracing::warn!("an event without members");
+        };
+        let mut entries = Vec::with_capacity(members.len());
+        for member in members {
+            match self.member(member) {
+                Some(entry) => entries.push(entry),
+                None => tracing::warn!("a member that cannot be read"),
+            }
+        }
+        if whole {
+            let engines: Vec<EngineId> = entries.iter().map(|entry| entry.engine).collect();
+            self.gateway.lines.only(&engines);
+        }
+        tracing::info!(whole, members = entries.len(), "databases listed");
+        self.gateway.facade.engines(entries, whole);
+    }
+
+    fn member(&self, member: &Value) -> Option<EngineEntry> {
+        let name = member["id"].as_str()?;
+        let readiness = match member["phase"].as_str()? {
+            "SERVING" => Readiness::Up,
+            "DRAINING" => Readiness::Draining,
+            "DELETED" => Readiness::Gone,
+            _ => return None,
+        };
+        let address: Option<SocketAddr> = member["host_port"].as_str().and_then(|text| text.parse().ok());
+        let mut known = lock(&self.known);
+        let next = EngineId(known.1.len() as u32);
+        let engine = *known.1.entry(name.to_owned()).or_insert(next);
+        drop(known);
+        self.gateway.lines.listed(engine, address, readiness == Readiness::Up);
+        let names = &self.gateway.names;
+        let place = |names: &[String], key: &str| {
+            let name = member[key].as_str();
+            names.iter().position(|other| Some(other.as_str()) == name)
+        };
+        let started = member["up_since_ms"].as_f64().filter(|at| *at > 0.0);
+        tracing::info!(name, ?readiness, engine = engine.0, ?address, "database");
+        Some(EngineEntry {
+            engine,
+            zone: ZoneId(place(&names.zones, "locality").unwrap_or(0)),
+            machine: MachineId(place(&names.machines, "flavor").unwrap_or(usize::MAX)),
+            cell: CellId(member["cell"].as_u64().unwrap_or(0)),
+            readiness,
+            started: started.map(|at| self.gateway.facade.from_unix(at)),
+        })
+    }
+
+    /// Follows the coordinator for good.
+    pub fn follow(&self, address: SocketAddr) {
+        loop {
+            match self.stream(address) {
+                Ok(()) => tracing::debug!("the coordinator's stream ended"),
+                Err(error) => tracing::info!("the coordinator's stream broke: {error}"),
+            }
+            may::coroutine::sleep(PAUSE);
+        }
+    }
+
+    /// One connection to the coordinator.
+    fn stream(&self, address: SocketAddr) -> io::Result<()> {
+        let mut socket = TcpStream::connect_timeout(&address, SILENCE)?;
+        socket.set_read_timeout(Some(SILENCE))?;
+        let last = lock(&self.known).0;
+        let ask = format!(
+            "GET /v2/stream HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last}\r\n\r\n"
+        );
+        socket.write_all(ask.as_bytes())?;
+        let mut input = Vec::new();
+        let (head, chunked) = loop {
+            if let Some(head) = parse_head(&input)? {
+                break head;
+            }
+            read(&mut socket, &mut input)?;
+        };
+        input.drain(..head);
+        let mut chunks = Chunks::default();
+        let mut text = Vec::new();
+        let mut event = Pending::default();
+        loop {
+            if chunked {
+                if !chunks.take(&mut input, &mut text)? {
+                    return Ok(());
+                }
+            } else {
+                text.append(&mut input);
+            }
+            let mut at = 0;
+            while let Some(end) = text[at..].iter().position(|byte| *byte == b'\n') {
+                let line = &text[at..at + end];
+                event.line(line.strip_suffix(b"\r").unwrap_or(line), |id, data| self.event(id, data));
+                at += end + 1;
+            }
+            text.drain(..at);
+            if text.len() > LONGEST || input.len() > LONGEST {
+                return Err(io::Error::other("a line is too long"));
+            }
+            read(&mut socket, &mut input)?;
+        }
+    }
+
+    /// Takes an event off the stream; those known already are skipped.
+    fn event(&self, id: Option<u64>, data: &str) {
+        let Ok(json) = serde_json::from_str::<Value>(data) else {
+            return tracing::warn!("an event that is not JSON");
+        };
+        let Some(index) = id.or(json["index"].as_u64()) else {
+            return tracing::warn!("an event without number");
+        };
+        {
+            let mut known = lock(&self.known);
+            if index <= known.0 {
+                return;
+            }
+            known.0 = index;
+        }
+        self.apply(&json);
+    }
+}
+
+fn read(socket: &mut TcpStream, input: &mut Vec<u8>) -> io::Result<()> {
+    let before = input.len();
+    input.resize(before + 4096, 0);
+    let read = socket.read(&mut input[before..]);
+    input.truncate(before + *read.as_ref().unwrap_or(&0));
+    match read {
+        Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+        Ok(_) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+/// The length of the response's head, if it is whole, and whether its body is chunked.
+fn parse_head(input: &[u8]) -> io::Result<Option<(usize, bool)>> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(input).map_err(io::Error::other)? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial if input.len() > 16 * 1024 => {
+            return Err(io::Error::other("a head too long"));
+        }
+        httparse::Status::Partial => return Ok(None),
+    };
+    if response.code != Some(200) {
+        return Err(io::Error::other(format!("status {}", response.code.unwrap_or(0))));
+    }
+    let chunked = response.headers.iter().any(|header| {
+        header.name.eq_ignore_ascii_case("transfer-encoding")
+            && header.value.to_ascii_lowercase().windows(7).any(|part| part == b"chunked")
+    });
+    Ok(Some((length, chunked)))
+}
+
+/// Takes a chunked body apart.
+#[derive(Default)]
+struct Chunks {
+    /// Bytes of the chunk, with its line end, that are still to come.
+    left: usize,
+}
+
+impl Chunks {
+    /// Moves what has come from `input` to `text`; false at the body's end.
+    fn take(&mut self, input: &mut Vec<u8>, text: &mut Vec<u8>) -> io::Result<bool> {
+        loop {
+            if self.left > 0 {
+                let part = self.left.min(input.len());
+                // The last two bytes of a chunk are its line end.
+                let body = part.min(self.left.saturating_sub(2));
+                text.extend_from_slice(&input[..body]);
+                input.drain(..part);
+                self.left -= part;
+                if self.left > 0 {
+                    return Ok(true);
+                }
+            }
+            match httparse::parse_chunk_size(input) {
+                Ok(httparse::Status::Complete((_, 0))) => return Ok(false),
+                Ok(httparse::Status::Complete((head, size))) if size <= LONGEST as u64 => {
+                    input.drain(..head);
+                    self.left = size as usize + 2;
+                }
+                Ok(httparse::Status::Partial) => return Ok(true),
+                _ => return Err(io::Error::other("a malformed chunk")),
+            }
+        }
+    }
+}
+
+/// An event of which lines have come.
+#[derive(Default)]
+struct Pending {
+    id: Option<u64>,
+    data: String,
+}
+
+impl Pending {
+    fn line(&mut self, line: &[u8], give: impl FnOnce(Option<u64>, &str)) {
+        if line.is_empty() {
+            if !self.data.is_empty() {
+                give(self.id, &self.data);
+            }
+            *self = Pending::default();
+            return;
+        }
+        let line = String::from_utf8_lossy(line);
+        let (name, value) = line.split_once(':').unwrap_or((&line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match name {
+            "id" => self.id = value.trim().parse().ok(),
+            "data" => {
+                if !self.data.is_empty() {
+                    self.data.push('\n');
+                }
+                self.data.push_str(value);
+            }
+            // Comments and all else.
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/net/ending.rs
@@ -0,0 +1,51 @@
+//! How an attempt, or the connection that carried it, can end.
+
+use gaugestep::interface::Outcome;
+
+/// Every way in which an attempt ends. What it proves about the attempt is said once, in [`Ending::outcome`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The whole result is here.
+    Served,
+    /// The database has no room for it.
+    Shed,
+    /// The database found its time over before it ran.
+    Late,
+    /// The database sent an error.
+    Fault,
+    /// The connection was refused.
+    DialRefused,
+    /// The connection did not come up in time.
+    DialTimedOut,
+    /// It was still waiting for its connection when its database left the list, or its connection closed before
+    /// the first byte of it was written.
+    NeverWritten,
+    /// The connection was reset.
+    Reset,
+    /// The database closed the connection.
+    Closed,
+    /// The connection was up, but a check of it came back with nothing.
+    Silent,
+    /// The database sent something that is no answer.
+    Garbled,
+    /// The proxy called the attempt off.
+    Cancelled,
+    /// The deadline came.
+    Deadline,
+}
+
+impl Ending {
+    /// What the module is told. Guards the rule that nothing unsafe runs twice: only what proves that the
+    /// database never saw the whole request may map to an outcome that says so.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Ending::Served => Outcome::Served,
+            Ending::Shed | Ending::Late => Outcome::Full,
+            Ending::Fault => Outcome::Errored,
+            Ending::DialRefused | Ending::DialTimedOut | Ending::NeverWritten => Outcome::ConnectFailed,
+            Ending::Reset | Ending::Closed | Ending::Silent | Ending::Garbled => Outcome::Reset,
+            Ending::Cancelled => Outcome::Cancelled,
+            Ending::Deadline => Outcome::TimedOut,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/front/mod.rs
@@ -0,0 +1,5 @@
+//! Fronts: what clients speak.
+
+mod fields;
+mod message;
+pub mod pg;
--- /dev/null
+++ b/src/net/front/pg.rs
@@ -0,0 +1,386 @@
+//! The PostgreSQL front: sessions of simple queries.
+//!
+//! One coroutine owns each session's socket. A query runs in a coroutine of its own, which leaves the answer with the
+//! session and wakes it; so the session sees at any time that its client has left.
+
+use std::collections::HashMap;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use gaugestep::interface::{ClassId, NewRequest, TablesId, TenantId};
+use may::io::{CoIo, WaitIo as _};
+
+use super::message::{self, Start};
+use super::{fields, message::Message};
+use crate::facade::{Letter, Mailbox, request_id};
+use crate::net::relay::{Gateway, Open, relay};
+use crate::net::stream::{Filled, Outbox, Stream as _, Waker, fill};
+use crate::net::{Answer, Post, Query, lock, task};
+
+/// Milliseconds kept back from a client's time for the answer's way.
+const ANSWER_WAY: f64 = 5.0;
+/// A client must have said who it is within this time, and must go on reading within the other.
+const START_WITHIN: Duration = Duration::from_secs(10);
+const READ_WITHIN: Duration = Duration::from_secs(30);
+/// Bytes read ahead of what is being answered.
+const READ_AHEAD: usize = 64 * 1024;
+
+/// What the sessions of the front share.
+pub struct Front {
+    gateway: Arc<Gateway>,
+    sessions: Mutex<HashMap<u32, Arc<Desk>>>,
+    next: AtomicU32,
+    seed: u64,
+    closing: AtomicBool,
+}
+
+/// What others reach a session by.
+struct Desk {
+    secret: u32,
+    cancelled: AtomicBool,
+    waker: Waker,
+}
+
+impl Front {
+    /// A front before the gateway; `seed` makes the sessions' keys hard to guess.
+    pub fn new(gateway: Arc<Gateway>, seed: u64) -> Self {
+        Front {
+            gateway,
+            sessions: Mutex::default(),
+            next: AtomicU32::new(1),
+            seed,
+            closing: AtomicBool::new(false),
+        }
+    }
+
+    /// How many sessions there are.
+    pub fn sessions(&self) -> usize {
+        lock(&self.sessions).len()
+    }
+
+    /// From now on sessions are closed as soon as nothing is open in them.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+        self.wake_all();
+    }
+
+    /// Wakes all sessions, so that they look at their clocks.
+    pub fn wake_all(&self) {
+        let desks: Vec<Arc<Desk>> = lock(&self.sessions).values().cloned().collect();
+        for desk in desks {
+            desk.waker.wakeup();
+        }
+    }
+
+    /// Takes in a connection; the coroutine that runs it is started here.
+    pub fn take_in(self: &Arc<Self>, socket: TcpStream) -> std::io::Result<()> {
+        socket.set_nodelay(true)?;
+        let stream = CoIo::new(socket).map_err(std::io::Error::from)?;
+        let process = self.next.fetch_add(1, Ordering::Relaxed);
+        let secret = oorandom::Rand32::new(self.seed ^ (u64::from(process) << 32)).rand_u32();
+        let desk = Arc::new(Desk { secret, cancelled: AtomicBool::new(false), waker: stream.waker() });
+        lock(&self.sessions).insert(process, desk.clone());
+        let front = self.clone();
+        let spawned = task::spawn("session", move || {
+            let mut session = Session {
+                front: &front,
+                stream,
+                desk,
+                process,
+                input: Vec::new(),
+                at: 0,
+                out: Outbox::default(),
+                moved: Instant::now(),
+                read_at: 0.0,
+                state: State::Starting,
+            };
+            session.run();
+            if let State::Busy(running) = &session.state {
+                let _ = running.post.send(Letter::ClientGone);
+            }
+            lock(&front.sessions).remove(&process);
+        });
+        if spawned.is_err() {
+            lock(&self.sessions).remove(&process);
+        }
+        spawned
+    }
+
+    fn cancel(&self, process: u32, secret: u32) {
+        let desk = lock(&self.sessions).get(&process).filter(|desk| desk.secret == secret).cloned();
+        if let Some(desk) = desk {
+            desk.cancelled.store(true, Ordering::Relaxed);
+            desk.waker.wakeup();
+        }
+    }
+}
+
+enum State {
+    Starting,
+    Ready,
+    /// After an error in the extended protocol: all is passed over until Sync.
+    Skipping,
+    Busy(Running),
+    /// Closed once all is written.
+    Closing,
+}
+
+/// A query that runs.
+struct Running {
+    post: Post,
+    answer: Arc<Mutex<Option<Answer>>>,
+    /// The statement's first word, for the tag of its result.
+    word: String,
+    open: Open,
+}
+
+struct Session<'a> {
+    front: &'a Arc<Front>,
+    stream: CoIo<TcpStream>,
+    desk: Arc<Desk>,
+    process: u32,
+    input: Vec<u8>,
+    /// Bytes of `input` that are done with.
+    at: usize,
+    out: Outbox,
+    /// When the session began or its client last took something.
+    moved: Instant,
+    /// When the last bytes were read, on the module's clock.
+    read_at: f64,
+    state: State,
+}
+
+impl Session<'_> {
+    /// Runs until the connection is to be closed.
+    fn run(&mut self) {
+        let mut answered = None;
+        loop {
+            if self.read().is_err() {
+                return;
+            }
+            answered = self.take_answer().or(answered);
+            if self.desk.cancelled.swap(false, Ordering::Relaxed) {
+                self.cancelled();
+            }
+            self.take_messages();
+            match self.out.flush(self.stream.socket()) {
+                Ok(moved) if moved || self.out.waiting() == 0 => {
+                    if !matches!(self.state, State::Starting) {
+                        self.moved = Instant::now();
+                    }
+                }
+                Ok(_) => {}
+                Err(_) => return,
+            }
+            if self.out.waiting() == 0 {
+                answered = None;
+                if matches!(self.state, State::Closing)
+                    || (self.idle() && self.front.closing.load(Ordering::Relaxed))
+                {
+                    return;
+                }
+            }
+            let patience = if matches!(self.state, State::Starting) { START_WITHIN } else { READ_WITHIN };
+            if self.moved.elapsed() >= patience {
+                return;
+            }
+            let more = self.out.waiting() == 0 && self.can_take() && self.whole_message();
+            if !more {
+                self.stream.wait_io();
+            }
+        }
+    }
+
+    fn idle(&self) -> bool {
+        !matches!(self.state, State::Busy(_)) && self.input.len() == self.at
+    }
+
+    fn can_take(&self) -> bool {
+        !matches!(self.state, State::Busy(_) | State::Closing)
+    }
+
+    fn whole_message(&self) -> bool {
+        let input = &self.input[self.at..];
+        match self.state {
+            State::Starting => !matches!(message::start(input), Ok(None)),
+            _ => !matches!(message::next(input), Ok(None)),
+        }
+    }
+
+    /// Reads all that has come; an error if the client has gone.
+    fn read(&mut self) -> Result<(), ()> {
+        // A client that sends ahead of its answers, or does not read them, has to wait.
+        while self.can_take() && self.out.waiting() == 0 || self.input.len() - self.at < READ_AHEAD {
+            match fill(self.stream.socket(), &mut self.input) {
+                Ok(Filled::Some) => self.read_at = self.front.gateway.facade.now(),
+                Ok(Filled::Nothing) => return Ok(()),
+                Ok(Filled::Closed) | Err(_) => return Err(()),
+            }
+            if self.can_take() && self.whole_message() {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes out the answer that has come, if any; the request stays open until the client has it all.
+    fn take_answer(&mut self) -> Option<Open> {
+        let State::Busy(running) = &self.state else { return None };
+        let answer = lock(&running.answer).take()?;
+        let out = self.out.buffer();
+        match answer {
+            Answer::Served(pages) => message::result(out, &running.word, &pages),
+            Answer::Refused(backoff) => {
+                let text = format!("refused, nothing was done: backoff={:.0}", backoff.max(0.0));
+                message::error(out, false, "53000", &text);
+            }
+            Answer::Failed => message::error(out, false, "58000", "failed: the statement may have run"),
+        }
+        message::ready(out);
+        match std::mem::replace(&mut self.state, State::Ready) {
+            State::Busy(running) => Some(running.open),
+            _ => None,
+        }
+    }
+
+    /// The client has asked to have its query called off.
+    fn cancelled(&mut self) {
+        if let State::Busy(running) = std::mem::replace(&mut self.state, State::Ready) {
+            let _ = running.post.send(Letter::ClientGone);
+            message::error(self.out.buffer(), false, "57014", "canceling statement due to user request");
+            message::ready(self.out.buffer());
+        }
+    }
+
+    /// Deals with the whole messages that have been read, up to the next query.
+    fn take_messages(&mut self) {
+        while self.can_take() && self.out.waiting() < READ_AHEAD {
+            let input = std::mem::take(&mut self.input);
+            let taken = match self.state {
+                State::Starting => self.start(&input[self.at..]),
+                _ => self.message(&input[self.at..]),
+            };
+            self.input = input;
+            match taken {
+                Ok(0) => break,
+                Ok(taken) => self.at += taken,
+                Err((code, text)) => {
+                    message::error(self.out.buffer(), true, code, text);
+                    self.state = State::Closing;
+                }
+            }
+        }
+        self.input.drain(..self.at);
+        self.at = 0;
+        if self.input.is_empty() {
+            self.input.shrink_to(READ_AHEAD);
+        }
+    }
+
+    fn start(&mut self, input: &[u8]) -> Result<usize, message::Malformed> {
+        let Some((start, length)) = message::start(input)? else { return Ok(0) };
+        match start {
+            Start::Session => {
+                message::welcome(self.out.buffer(), self.process, self.desk.secret);
+                self.state = State::Ready;
+            }
+            Start::Encryption => self.out.buffer().push(b'N'),
+            Start::Cancel { process, secret } => {
+                self.front.cancel(process, secret);
+                self.state = State::Closing;
+            }
+        }
+        Ok(length)
+    }
+
+    fn message(&mut self, input: &[u8]) -> Result<usize, message::Malformed> {
+        let Some(Message { kind, body, length }) = message::next(input)? else { return Ok(0) };
+        match (kind, &self.state) {
+            (b'X', _) => self.state = State::Closing,
+            (b'S', _) => {
+                message::ready(self.out.buffer());
+                self.state = State::Ready;
+            }
+            (_, State::Skipping) => {}
+            (b'Q', _) => self.query(body),
+            (b'P' | b'B' | b'D' | b'E' | b'C' | b'H', _) => {
+                message::error(self.out.buffer(), false, "0A000", "only simple queries are supported");
+                self.state = State::Skipping;
+            }
+            (b'F', _) => {
+                message::error(self.out.buffer(), false, "0A000", "function calls are not supported");
+                message::ready(self.out.buffer());
+            }
+            // Left over from a copy that is not to be.
+            (b'd' | b'c' | b'f', _) => {}
+            _ => return Err(("08P01", "invalid frontend message type")),
+        }
+        Ok(length)
+    }
+
+    fn query(&mut self, body: &[u8]) {
+        let text = body.strip_suffix(&[0]).unwrap_or(body);
+        let out = self.out.buffer();
+        if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
+            message::empty(out);
+            return message::ready(out);
+        }
+        let query = match self.front.read_query(text, self.read_at) {
+            Ok(query) => query,
+            Err((code, text)) => {
+                message::error(out, false, code, &text);
+                return message::ready(out);
+            }
+        };
+        let word = query.statement.iter().take_while(|byte| byte.is_ascii_alphabetic()).take(16);
+        let word = word.map(|byte| char::from(*byte)).collect();
+        let (mailbox, answer) = (Mailbox::new(), Arc::new(Mutex::new(None)));
+        let (post, slot, waker) = (mailbox.address(), answer.clone(), self.stream.waker());
+        let (gateway, open) = (self.front.gateway.clone(), self.front.gateway.opened());
+        let spawned = task::spawn("request", move || {
+            relay(&gateway, query, &mailbox, |given| {
+                *lock(&slot) = Some(given);
+                waker.wakeup();
+            });
+        });
+        match spawned {
+            Ok(()) => self.state = State::Busy(Running { post, answer, word, open }),
+            Err(_) => {
+                message::error(out, false, "53200", "out of memory");
+                message::ready(out);
+            }
+        }
+    }
+}
+
+impl Front {
+    /// The request that a query's text holds, or code and text of what is wrong with it.
+    fn read_query(&self, text: &[u8], read_at: f64) -> Result<Query, (&'static str, String)> {
+        let gateway = &self.gateway;
+        if gateway.open.load(Ordering::Relaxed) >= gateway.max_open {
+            return Err(("53300", "too many requests are open".into()));
+        }
+        let (fields, statement) = fields::split(text).map_err(|text| ("42601", text))?;
+        let place = |names: &[String], name: &str| names.iter().position(|other| other == name);
+        let class = place(&gateway.names.classes, fields.method)
+            .ok_or_else(|| ("22023", format!("field 'method' is '{}', which is no class", fields.method)))?;
+        let tenant = match fields.acct {
+            None => 0,
+            Some(name) => place(&gateway.names.tenants, name)
+                .ok_or_else(|| ("22023", format!("field 'acct' is '{name}', which is no tenant")))?,
+        };
+        let new = NewRequest {
+            id: request_id(fields.rid),
+            class: ClassId(class),
+            tenant: TenantId(tenant),
+            due: read_at + fields.budget - ANSWER_WAY.min(fields.budget / 2.0),
+            estimate: fields.est,
+            memory_mb: fields.space,
+            tables: TablesId(fields::table_group(statement).unwrap_or(0)),
+            key: None,
+        };
+        Ok(Query { new, statement: statement.to_vec() })
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,81 @@
+//! The real proxy on sockets.
+//!
+//! A front yields a [`Query`] and takes an [`Answer`]; the databases' side gets a [`Query`] and yields [`News`].
+//! Neither knows the other: [`relay`] stands between them and asks the facade what to do.
+
+pub mod back;
+pub mod coordinator;
+pub mod ending;
+pub mod front;
+pub mod relay;
+pub mod server;
+pub mod stream;
+pub mod task;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use gaugestep::interface::{Cost, LoadReport, NewRequest, Note};
+
+use crate::facade::Letter;
+use ending::Ending;
+
+/// A client's request, whatever front it came through.
+#[derive(Clone, Debug)]
+pub struct Query {
+    /// What the module is told.
+    pub new: NewRequest,
+    /// The statement, byte for byte.
+    pub statement: Vec<u8>,
+}
+
+/// A whole result: pages of rows, in order. A tab parts the columns of a row, a line feed ends it.
+pub type Pages = Vec<Vec<u8>>;
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// Served.
+    Served(Pages),
+    /// It never ran, or may be repeated: the client may come again, after so many milliseconds.
+    Refused(f64),
+    /// Failed; nothing is promised.
+    Failed,
+}
+
+/// What the databases' side tells of an attempt.
+#[derive(Debug)]
+pub enum News {
+    /// A note while it runs.
+    Note(Note),
+    /// Its end.
+    Ended(AttemptEnding),
+}
+
+/// The end of an attempt.
+#[derive(Debug)]
+pub struct AttemptEnding {
+    /// How it ended.
+    pub ending: Ending,
+    /// What it needed, where that was told.
+    pub cost: Option<Cost>,
+    /// The database's load, where that was told.
+    pub load: Option<LoadReport>,
+    /// The result, if it was served.
+    pub pages: Pages,
+}
+
+impl From<Ending> for AttemptEnding {
+    fn from(ending: Ending) -> Self {
+        AttemptEnding { ending, cost: None, load: None, pages: Pages::new() }
+    }
+}
+
+/// A letter to a request's coroutine, and the address it is sent to.
+pub type Mail = Letter<News>;
+/// Where such letters go.
+pub type Post = may::sync::mpsc::Sender<Mail>;
+
+/// Locks for a moment; never held over anything that waits.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/net/relay.rs
@@ -0,0 +1,121 @@
+//! One request's way from a front to the databases and back, as the facade says.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use super::back::lines::Lines;
+use super::ending::Ending;
+use super::{Answer, AttemptEnding, Mail, News, Pages, Query};
+use crate::config::Names;
+use crate::facade::{AttemptReport, Facade, Letter, Mailbox, Sending, Step};
+
+/// What all requests share.
+pub struct Gateway {
+    /// The module.
+    pub facade: Facade<News>,
+    /// The databases.
+    pub lines: Arc<Lines>,
+    /// The names that the protocol uses.
+    pub names: Names,
+    /// Requests that may be open together.
+    pub max_open: usize,
+    /// Requests that are taken and not yet answered in full.
+    pub open: AtomicUsize,
+}
+
+impl Gateway {
+    /// Counts a request as open until the returned guard is dropped.
+    pub fn opened(self: &Arc<Self>) -> Open {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Open(self.clone())
+    }
+}
+
+/// Counts one open request.
+pub struct Open(Arc<Gateway>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Sees a request through; `answer` gets the one final answer, unless the client leaves before it.
+pub fn relay(gateway: &Gateway, query: Query, mailbox: &Mailbox<News>, answer: impl FnOnce(Answer)) {
+    let query = Arc::new(query);
+    let mut request = Request { gateway, query: &query, mailbox, answer: Some(answer) };
+    let mut step = gateway.facade.pick(query.new.clone(), mailbox);
+    loop {
+        step = match step {
+            Step::Send(sending) => request.attempt(sending),
+            Step::Refuse(backoff) => return request.answer(Answer::Refused(backoff)),
+            Step::Fail => return request.answer(Answer::Failed),
+            Step::Over => return,
+        }
+    }
+}
+
+struct Request<'a, F> {
+    gateway: &'a Gateway,
+    query: &'a Arc<Query>,
+    mailbox: &'a Mailbox<News>,
+    answer: Option<F>,
+}
+
+impl<F: FnOnce(Answer)> Request<'_, F> {
+    /// Gives the final answer; a second one is impossible.
+    fn answer(&mut self, answer: Answer) {
+        if let Some(give) = self.answer.take() {
+            give(answer);
+        }
+    }
+
+    /// Makes one attempt and reports its end.
+    fn attempt(&mut self, sending: Sending) -> Step {
+        let facade = &self.gateway.facade;
+        let id = &self.query.new.id;
+        let left = Duration::from_secs_f64((self.query.new.due - facade.now()).max(0.0) / 1e3);
+        let handle = self.gateway.lines.send(sending, self.query, left, self.mailbox.address());
+        let give_up = |ending: Ending| {
+            handle.cancel();
+            AttemptEnding::from(ending)
+        };
+        let end = loop {
+            let letter: Mail = self.mailbox.next();
+            match letter {
+                Letter::Cancel(attempt) if attempt == sending.attempt => break give_up(Ending::Cancelled),
+                Letter::Deadline(attempt) if attempt == sending.attempt => break give_up(Ending::Deadline),
+                Letter::Priority(priority) => handle.weigh(priority),
+                Letter::Back(attempt, news) if attempt == sending.attempt => match news {
+                    News::Note(note) => facade.noted(id, attempt, note),
+                    News::Ended(end) => break end,
+                },
+                Letter::Refuse(backoff) => self.answer(Answer::Refused(backoff)),
+                Letter::Fail => self.answer(Answer::Failed),
+                Letter::ClientGone => {
+                    self.answer = None;
+                    facade.client_gone(id);
+                }
+                // What is left of attempts before; one attempt is out at a time.
+                Letter::Send(_) | Letter::Cancel(_) | Letter::Deadline(_) | Letter::Back(..) => {}
+            }
+        };
+        let AttemptEnding { ending, cost, load, pages } = end;
+        tracing::debug!(
+            id = &*id.0,
+            engine = sending.engine.0,
+            attempt = sending.attempt.0,
+            ?ending,
+            "ended"
+        );
+        if ending == Ending::Served {
+            self.served(pages);
+        }
+        facade.report(id, AttemptReport { outcome: ending.outcome(), cost, load }, self.mailbox)
+    }
+
+    fn served(&mut self, pages: Pages) {
+        self.answer(Answer::Served(pages));
+    }
+}
--- /dev/null
+++ b/src/net/server.rs
@@ -0,0 +1,129 @@
+//! The listener, the budget of descriptors, and the way out.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use may::io::{CoIo, WaitIo as _, WaitIoWaker};
+
+use super::back::lines::Lines;
+use super::coordinator::Roster;
+use super::front::pg::Front;
+use super::relay::Gateway;
+use super::task;
+use crate::config::Config;
+use crate::facade::Facade;
+
+/// Descriptors for everything but clients and databases.
+const RESERVE: usize = 32;
+/// Time after SIGTERM in which new connections and requests may still come, by the protocol and a little more.
+const STILL_COMING: Duration = Duration::from_millis(850);
+/// Between looks at what is still open.
+const LOOK: Duration = Duration::from_millis(10);
+/// Time for the last bytes to leave.
+const LAST_BYTES: Duration = Duration::from_millis(50);
+/// How often sessions look at their clocks.
+const SESSION_SWEEP: Duration = Duration::from_secs(1);
+
+/// A proxy that serves.
+pub struct Server {
+    gateway: Arc<Gateway>,
+    front: Arc<Front>,
+    stop: Arc<AtomicBool>,
+    listener: WaitIoWaker,
+}
+
+impl Server {
+    /// Binds the address and starts all coroutines.
+    pub fn start(config: Config) -> Result<Self, String> {
+        let listener =
+            bind(config.listen).map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+        // Clients hold a third of the descriptors at most; a few connections more only call queries off.
+        let sessions = config.limits.descriptors * 2 / 5;
+        let budget = config.limits.descriptors - sessions - RESERVE.min(config.limits.descriptors / 4);
+        let facade = Facade::new(config.settings, config.seed).map_err(|error| error.to_string())?;
+        let gateway = Arc::new(Gateway {
+            facade,
+            lines: Arc::new(Lines::new(config.limits, config.names.clone(), budget)),
+            names: config.names,
+            open: AtomicUsize::new(0),
+            max_open: config.limits.max_open,
+        });
+        let roster = Roster::new(gateway.clone(), config.known_index);
+        for event in &config.known {
+            roster.apply(event);
+        }
+        let front = Arc::new(Front::new(gateway.clone(), config.seed));
+        let listener = CoIo::new(listener).map_err(|error| io::Error::from(error).to_string())?;
+        let server = Server {
+            gateway: gateway.clone(),
+            front: front.clone(),
+            stop: Arc::new(AtomicBool::new(false)),
+            listener: listener.waker(),
+        };
+        let start = |name, task: Box<dyn FnOnce() + Send>| {
+            task::spawn(name, task).map_err(|error| format!("cannot start a coroutine: {error}"))
+        };
+        let ticking = gateway.clone();
+        start("ticker", Box::new(move || ticking.facade.run_ticker()))?;
+        start("sweeper", Box::new(move || gateway.lines.run_sweeper()))?;
+        if let Some(address) = config.coordinator {
+            start("coordinator", Box::new(move || roster.follow(address)))?;
+        }
+        let watched = front.clone();
+        let sweep = move || {
+            loop {
+                may::coroutine::sleep(SESSION_SWEEP);
+                watched.wake_all();
+            }
+        };
+        start("session clocks", Box::new(sweep))?;
+        let stop = server.stop.clone();
+        start("listener", Box::new(move || accept(&listener, &front, &stop, sessions)))?;
+        Ok(server)
+    }
+
+    /// Goes on accepting while clients may still come, finishes what is open, and returns. Blocks a thread.
+    pub fn drain(&self) {
+        std::thread::sleep(STILL_COMING);
+        self.stop.store(true, Ordering::Relaxed);
+        self.listener.wakeup();
+        self.front.close();
+        while self.gateway.open.load(Ordering::Relaxed) > 0 {
+            std::thread::sleep(LOOK);
+        }
+        std::thread::sleep(LAST_BYTES);
+    }
+}
+
+/// The address can be bound again at once after a restart, but not by two proxies together.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
+fn accept(listener: &CoIo<TcpListener>, front: &Arc<Front>, stop: &AtomicBool, most: usize) {
+    while !stop.load(Ordering::Relaxed) {
+        match listener.inner().accept() {
+            Ok((socket, _)) if front.sessions() < most => {
+                if let Err(error) = front.take_in(socket) {
+                    tracing::warn!("a connection could not be taken in: {error}");
+                }
+            }
+            // Closed unread: the client sees that the proxy is full.
+            Ok(_) => tracing::warn!("too many connections"),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                listener.wait_io();
+            }
+            Err(error) => {
+                tracing::warn!("cannot accept: {error}");
+                may::coroutine::sleep(LOOK);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/stream.rs
@@ -0,0 +1,115 @@
+//! Sockets as the coroutines use them: reading and writing never block, [`WaitIo::wait_io`] does. One coroutine
+//! owns each connection, both ways; others wake it with a [`Waker`].
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+
+use may::io::{CoIo, WaitIo, WaitIoWaker};
+
+/// Wakes the coroutine that owns a connection.
+pub type Waker = WaitIoWaker;
+
+/// A connection that a coroutine can wait on.
+pub trait Stream: WaitIo {
+    /// The socket itself, which does not block.
+    fn socket(&self) -> &TcpStream;
+}
+
+impl Stream for CoIo<TcpStream> {
+    fn socket(&self) -> &TcpStream {
+        self.inner()
+    }
+}
+
+impl Stream for may::net::TcpStream {
+    fn socket(&self) -> &TcpStream {
+        self.inner()
+    }
+}
+
+/// What a read brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Filled {
+    /// Bytes; there may be more.
+    Some,
+    /// Nothing for now.
+    Nothing,
+    /// The other side has closed.
+    Closed,
+}
+
+/// Bytes read at once.
+const CHUNK: usize = 8 * 1024;
+
+/// Reads once into the end of `buffer`.
+pub fn fill(mut socket: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<Filled> {
+    let before = buffer.len();
+    buffer.resize(before + CHUNK, 0);
+    let read = loop {
+        match socket.read(&mut buffer[before..]) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            other => break other,
+        }
+    };
+    buffer.truncate(before + *read.as_ref().unwrap_or(&0));
+    match read {
+        Ok(0) => Ok(Filled::Closed),
+        Ok(_) => Ok(Filled::Some),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Filled::Nothing),
+        Err(error) => Err(error),
+    }
+}
+
+/// Bytes on their way out.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    bytes: Vec<u8>,
+    /// Bytes of `bytes` that are written.
+    at: usize,
+    /// Bytes written before `bytes`.
+    earlier: u64,
+}
+
+impl Outbox {
+    /// Where the next byte added will stand in all that was ever written.
+    pub fn end(&self) -> u64 {
+        self.earlier + self.bytes.len() as u64
+    }
+
+    /// Bytes written so far.
+    pub fn written(&self) -> u64 {
+        self.earlier + self.at as u64
+    }
+
+    /// Bytes that wait.
+    pub fn waiting(&self) -> usize {
+        self.bytes.len() - self.at
+    }
+
+    /// The bytes to add to.
+    pub fn buffer(&mut self) -> &mut Vec<u8> {
+        &mut self.bytes
+    }
+
+    /// Writes what the socket takes now; true if that was something.
+    pub fn flush(&mut self, mut socket: &TcpStream) -> io::Result<bool> {
+        let before = self.at;
+        while self.at < self.bytes.len() {
+            match socket.write(&self.bytes[self.at..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => self.at += written,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        let moved = self.at > before;
+        if self.at == self.bytes.len() {
+            self.earlier += self.at as u64;
+            self.at = 0;
+            self.bytes.clear();
+            self.bytes.shrink_to(CHUNK);
+        }
+        Ok(moved)
+    }
+}
