Answer what the module ended while its deadline was still being dealt with

A probe with a database that never answers got no answer at all. At the deadline the module's own timer posts Refuse and Cancel behind the Deadline letter; report() then saw the request over and returned Step::Over with Refuse unread (facade.rs, report). It now takes that last word. Also: a session waits only once its socket had nothing more, since it tells of news once.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -87,6 +87,19 @@
         self.post.clone()
     }
 
+    /// The final answer that may still lie here. Guards against losing a request: the module can answer while the
+    /// letter before that answer, such as the deadline, is still being dealt with.
+    fn last_word(&self) -> Step {
+        while let Ok(letter) = self.letters.try_recv() {
+            match letter {
+                Letter::Refuse(backoff) => return Step::Refuse(backoff),
+                Letter::Fail => return Step::Fail,
+                _ => {}
+            }
+        }
+        Step::Over
+    }
+
     /// Blocks the coroutine until a letter comes.
     pub fn next(&self) -> Letter<Back> {
         // The mailbox holds a sender of its own, so the channel cannot close under it.
@@ -212,7 +225,7 @@
                 load: end.load,
             })),
         );
-        if over || over_before { Step::Over } else { self.wait(id, mailbox) }
+        if over || over_before { mailbox.last_word() } else { self.wait(id, mailbox) }
     }
 
     /// Passes on what an engine tells of a running attempt.
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -157,9 +157,7 @@
     fn run(&mut self) {
         let mut answered = None;
         loop {
-            if self.read().is_err() {
-                return;
-            }
+            let Ok(drained) = self.read() else { return };
             answered = self.take_answer().or(answered);
             if self.desk.cancelled.swap(false, Ordering::Relaxed) {
                 self.cancelled();
@@ -187,7 +185,8 @@
                 return;
             }
             let more = self.out.waiting() == 0 && self.can_take() && self.whole_message();
-            if !more {
+            // Waits only once the socket had nothing more, or what it has need not be read: it tells of news once.
+            if !more && (drained || !self.wants_more()) {
                 self.stream.wait_io();
             }
         }
@@ -209,20 +208,24 @@
         }
     }
 
-    /// Reads all that has come; an error if the client has gone.
-    fn read(&mut self) -> Result<(), ()> {
-        // A client that sends ahead of its answers, or does not read them, has to wait.
-        while self.can_take() && self.out.waiting() == 0 || self.input.len() - self.at < READ_AHEAD {
+    /// A client that sends ahead of its answers, or does not read them, has to wait.
+    fn wants_more(&self) -> bool {
+        self.can_take() && self.out.waiting() == 0 || self.input.len() < READ_AHEAD
+    }
+
+    /// Reads what has come, up to a whole message; true if there was nothing more, an error if the client has gone.
+    fn read(&mut self) -> Result<bool, ()> {
+        while self.wants_more() {
             match fill(self.stream.socket(), &mut self.input) {
                 Ok(Filled::Some) => self.read_at = self.front.gateway.facade.now(),
-                Ok(Filled::Nothing) => return Ok(()),
+                Ok(Filled::Nothing) => return Ok(true),
                 Ok(Filled::Closed) | Err(_) => return Err(()),
             }
             if self.can_take() && self.whole_message() {
-                return Ok(());
+                break;
             }
         }
-        Ok(())
+        Ok(false)
     }
 
     /// Writes out the answer that has come, if any; the request stays open until the client has it all.
