Refuse the least worthy that wait before clients run out of connections

Now the module is told max_open (nine tenths of that third) and, beyond it, refuses what ranks lowest of what waits. Adds the tests that start the real program.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -184,7 +184,7 @@
     }
 
     /// A Unix time in milliseconds on the module's clock. It may lie before the clock's zero.
-    pub fn from_unix(&self, unix_ms: Millis) -> Millis {
+    pub fn at_unix(&self, unix_ms: Millis) -> Millis {
         unix_ms - self.epoch
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -154,6 +154,8 @@
     pub dispatchers: usize,
     /// The zone that this one stands in.
     pub zone: ZoneId,
+    /// Requests that may be open together; of more, those worth least for their work are refused.
+    pub max_open: usize,
     /// Attempts allowed for one request.
     pub max_attempts: usize,
     /// True if two attempts of one request may be out together.
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -82,7 +82,7 @@
             machine: MachineId(place(&names.machines, "flavor").unwrap_or(usize::MAX)),
             cell: CellId(member["cell"].as_u64().unwrap_or(0)),
             readiness,
-            started: started.map(|at| self.gateway.facade.from_unix(at)),
+            started: started.map(|at| self.gateway.facade.at_unix(at)),
         })
     }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -43,7 +43,10 @@
         // Clients hold a third of the descriptors at most; a few connections more only call queries off.
         let sessions = config.limits.descriptors * 2 / 5;
         let budget = config.limits.descriptors - sessions - RESERVE.min(config.limits.descriptors / 4);
-        let facade = Facade::new(config.settings, config.seed).map_err(|error| error.to_string())?;
+        // A tenth of the clients' connections stays free for those who come next.
+        let mut settings = config.settings;
+        settings.max_open = settings.max_open.min(config.limits.descriptors / 3 * 9 / 10).max(1);
+        let facade = Facade::new(settings, config.seed).map_err(|error| error.to_string())?;
         let gateway = Arc::new(Gateway {
             facade,
             lines: Arc::new(Lines::new(config.limits, config.names.clone(), budget)),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -733,21 +733,25 @@
         let mut no_room = vec![f64::INFINITY; self.classes.len()];
         // Where engines are compared by lot, the next request may meet others.
         let alike = self.requests.len() > FEW && self.settings.dispatchers <= WIDE;
+        let mut left = Vec::new();
         for (rank, id, class, memory) in waiting {
-            if memory >= no_room[class] {
-                continue;
-            }
             let priority = self.priority(rank);
             let Some(request) = self.requests.get(&id) else { continue };
             let fresh = request.attempts.is_empty();
-            if !self.further_attempt(request, false) {
+            let may = memory < no_room[class] && self.further_attempt(request, false);
+            if let Some(engine) = may.then(|| self.place(&id, priority)).flatten() {
+                self.send(&id, engine, priority, out);
                 continue;
             }
-            match self.place(&id, priority) {
-                Some(engine) => self.send(&id, engine, priority, out),
-                None if fresh && alike => no_room[class] = memory,
-                None => {}
+            if may && fresh && alike {
+                no_room[class] = memory;
             }
+            left.push(id);
+        }
+        // Guards against a full house: the clients of whatever comes next could not even connect.
+        let open = self.requests.values().filter(|request| !request.finished).count();
+        for id in left.iter().rev().take(open.saturating_sub(self.settings.max_open)) {
+            self.answer(id, out);
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -445,6 +445,7 @@
         tenants,
         dispatchers: real(json, "balancers", 1.0)? as usize,
         zone: ZoneId(real(json, "zone", 0.0)? as usize),
+        max_open: real(limits, "max_open", f64::MAX)? as usize,
         max_attempts: real(limits, "max_attempts", 1.0)? as usize,
         second_copies: flag(limits, "second_copies"),
         cancelling: flag(limits, "cancelling"),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -27,6 +27,7 @@
         tenants: vec![],
         dispatchers: 1,
         zone: ZoneId(0),
+        max_open: 20_000,
         max_attempts: 4,
         second_copies: false,
         cancelling: true,
--- /dev/null
+++ b/tests/common/proxy.rs
@@ -0,0 +1,171 @@
+//! The real program as a process, with the test as its client, its databases and its coordinator.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// Far more than anything here takes.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+const SETTINGS: &str = r#"{"areas": ["dc"], "kinds": ["k"], "balancers": 1, "orgs": [{"name": "acme", "quota_per_s": 100}],
+ "family_info": {"class_threads": [1, 2], "size_cores": [8], "ram_of_kind_mb": [16384], "tells_cost": true,
+ "lanes_count": true}, "limits": {"cancelling": true, "max_attempts": 4, "multiplex": 100, "dial_timeout_ms": 250,
+ "conn_idle_ms": 30000, "max_open": 1000, "retry_after": true, "max_retry_after_ms": 700},
+ "rules": {"answer_slack_ms": 20, "ratio_span_ms": 5000, "budget_free": 5, "further_ratio": 0.2},
+ "stats": {"fields": ["q", "rif", "x0"]}, "services": [
+ {"name": "lookup", "effect": "safe", "aim_ms": 500, "deadline_ms": 4000, "importance": 1},
+ {"name": "load", "effect": "unsafe", "aim_ms": 500, "deadline_ms": 4000, "importance": 8}]}"#;
+
+/// A proxy that runs; killed when dropped.
+pub struct Proxy {
+    child: Child,
+    pub address: SocketAddr,
+    config: PathBuf,
+}
+
+impl Proxy {
+    /// Starts one that knows these databases and waits until it answers an empty query.
+    pub fn start(databases: &[&Database]) -> Self {
+        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let member = |(index, database): (usize, &&Database)| {
+            let at = database.0.local_addr().unwrap();
+            format!(
+                r#"{{"id":"s-{index}","host_port":"{at}","locality":"dc","flavor":"k","phase":"SERVING"}}"#
+            )
+        };
+        let members: Vec<String> = databases.iter().enumerate().map(member).collect();
+        let text = format!(
+            r#"{{"name":"n0","listen":"{address}","seed":"8c1f","limits":{{"sockets":256}},"settings":{SETTINGS},
+            "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"complete":true,"members":[{}]}}}}]}}}}"#,
+            members.join(",")
+        );
+        let name = format!("gaugestep-{}-{}.json", std::process::id(), address.port());
+        let config = std::env::temp_dir().join(name);
+        std::fs::write(&config, text).unwrap();
+        let program = env!("CARGO_BIN_EXE_gaugestep");
+        let child =
+            Command::new(program).arg("serve").env("EDGE_CONFIG", &config).stderr(Stdio::null()).spawn();
+        let proxy = Proxy { child: child.unwrap(), address, config };
+        let until = Instant::now() + PATIENCE;
+        while TcpStream::connect(address).is_err() {
+            assert!(Instant::now() < until, "the proxy does not start");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        assert_eq!(proxy.client().ask(""), "I");
+        proxy
+    }
+
+    pub fn client(&self) -> Client {
+        Client::open(self.address)
+    }
+
+    /// Sends SIGTERM and waits for the end.
+    pub fn stop(&mut self) -> ExitStatus {
+        Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// A client with an open session.
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub fn open(address: SocketAddr) -> Self {
+        let mut client = Client(TcpStream::connect(address).unwrap());
+        client.0.set_read_timeout(Some(PATIENCE)).unwrap();
+        let body = b"\0\x03\0\0user\0app\0database\0dw\0\0";
+        client.0.write_all(&(body.len() as u32 + 4).to_be_bytes()).unwrap();
+        client.0.write_all(body).unwrap();
+        client.answer();
+        client
+    }
+
+    pub fn send(&mut self, text: &str) {
+        let mut message = vec![b'Q'];
+        message.extend((text.len() as u32 + 5).to_be_bytes());
+        message.extend(text.as_bytes());
+        message.push(0);
+        self.0.write_all(&message).unwrap();
+    }
+
+    /// The kinds of all messages up to ReadyForQuery; an error also shows its code and text.
+    pub fn answer(&mut self) -> String {
+        let mut seen = String::new();
+        loop {
+            let mut head = [0; 5];
+            self.0.read_exact(&mut head).expect("the session stays open");
+            let length = u32::from_be_bytes(head[1..].try_into().unwrap()) as usize - 4;
+            let mut body = vec![0; length];
+            self.0.read_exact(&mut body).unwrap();
+            match head[0] {
+                b'Z' => return seen,
+                b'E' => {
+                    let fields: Vec<&str> =
+                        body.split(|byte| *byte == 0).map(|f| std::str::from_utf8(f).unwrap()).collect();
+                    seen += &format!("E {} {}", &fields[2][1..], &fields[3][1..]);
+                }
+                kind => seen.push(kind.into()),
+            }
+        }
+    }
+
+    pub fn ask(&mut self, text: &str) -> String {
+        self.send(text);
+        self.answer()
+    }
+}
+
+/// A query of a class with the fields that it needs.
+pub fn query(class: &str, id: u64, budget: u32) -> String {
+    format!("/* method={class},rid={id:016x},budget={budget},est=20 */ SELECT a FROM sales_17.orders")
+}
+
+/// A database that listens; what it answers is up to the test.
+pub struct Database(pub TcpListener);
+
+impl Database {
+    pub fn new() -> Self {
+        Database(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// The next connection of the proxy.
+    pub fn accept(&self) -> Lines {
+        let socket = self.0.accept().unwrap().0;
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        Lines(BufReader::new(socket))
+    }
+}
+
+/// A connection at a database.
+pub struct Lines(pub BufReader<TcpStream>);
+
+impl Lines {
+    /// The words of the next command; a statement is read and added as the last.
+    pub fn command(&mut self) -> Vec<String> {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        let mut words: Vec<String> = line.trim_end().split(' ').map(String::from).collect();
+        if words[0] == "serve" {
+            let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+            self.0.read_exact(&mut body).unwrap();
+            words.push(String::from_utf8(body).unwrap().trim_end_matches("\r\n").into());
+        }
+        words
+    }
+
+    pub fn say(&mut self, id: &str, word: &str, fields: &str, body: &str) {
+        let line = format!("{id} {word} {fields} {}\r\n{body}\r\n", body.len());
+        self.0.get_mut().write_all(line.as_bytes()).unwrap();
+    }
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -472,3 +472,15 @@
     assert!(sends(&desk.arrive(request(9, 0, desk.now + 60_000.0))).is_empty());
     assert_eq!(sends(&desk.wait(400.0)).len(), 1, "after a while one query tries it again");
 }
+
+/// Guards against a full house: the clients of whatever comes next could not even connect.
+#[test]
+fn of_more_than_may_be_open_the_least_worthy_that_wait_are_refused() {
+    let mut site = settings(vec![class(Effect::Safe, 1.0), class(Effect::Safe, 2.0)]);
+    site.max_open = 40;
+    let mut desk = Desk::new(site, 1);
+    let refused: usize = (0..60)
+        .map(|number| refusals(&desk.arrive(request(number, usize::from(number % 2 == 0), 60_000.0))))
+        .sum();
+    assert_eq!(refused, 20);
+}
