--- a/src/rules.rs
+++ b/src/rules.rs
@@ -256,9 +256,9 @@
         })
     }
 
-    /// Takes one event and adds what is to be done to `out`. While much is open, what waits is not looked at for
-    /// each event: the embedder must call [`Dispatcher::settle`] soon after one or more events. Guards against a
-    /// cost of all that is open times all that happens: with hundreds open it took more than a core.
+    /// Takes one event and adds what is to be done to `out`. While much is open, what waits is not looked at
+    /// for each event: [`Dispatcher::settle`] must follow soon. Guards against a cost of all that is open times
+    /// all that happens: with hundreds open it took more than a core.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
         match event {
@@ -728,8 +728,8 @@
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         self.book_held();
-        // The least memory of each class's fresh requests for which no engine had room in this round. As engines
-        // only fill up and ranks only fall in it, one that needs as much need not be tried.
+        // The least memory of each class's fresh requests for which no engine had room in this round. Engines
+        // only fill up and ranks only fall in it: one that needs as much need not be tried.
         let mut no_room = vec![f64::INFINITY; self.classes.len()];
         // Where engines are compared by lot, the next request may meet others.
         let alike = self.requests.len() > FEW && self.settings.dispatchers <= WIDE;
