--- a/src/rules.rs
+++ b/src/rules.rs
@@ -728,7 +728,7 @@
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         self.book_held();
-        // The least memory of each class's fresh requests for which no engine had room in this round. Engines
+        // The least memory of the fresh requests of a class for which no engine had room so far. Engines
         // only fill up and ranks only fall in it: one that needs as much need not be tried.
         let mut no_room = vec![f64::INFINITY; self.classes.len()];
         // Where engines are compared by lot, the next request may meet others.
