--- a/src/rules.rs
+++ b/src/rules.rs
@@ -257,8 +257,8 @@
     }
 
     /// Takes one event and adds what is to be done to `out`. While much is open, what waits is not looked at
-    /// for each event: [`Dispatcher::settle`] must follow soon. Guards against a cost of all that is open times
-    /// all that happens: with hundreds open it took more than a core.
+    /// for each event: [`Dispatcher::settle`] must follow soon. Guards against a cost of all that is open
+    /// times all that happens: with hundreds open it took more than a core.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
         match event {
