--- a/src/rules.rs
+++ b/src/rules.rs
@@ -79,6 +79,8 @@
 const TENANT_DOUBT: f64 = 2.0;
 /// Open requests up to which each event is followed by a look at all that waits.
 const FEW: usize = 300;
+/// Share of the requests that may be open from which on only the most urgent are sent.
+const SLOW_OPEN: f64 = 0.7;
 /// ms of work taken for a request without an estimate.
 const UNKNOWN_WORK: Millis = 1_000.0;
 
@@ -734,13 +736,19 @@
         // Where engines are compared by lot, the next request may meet others.
         let alike = self.requests.len() > FEW && self.settings.dispatchers <= WIDE;
         let mut left = Vec::new();
+        // Slow queries must not hold all that may be open: the quick ones behind them are worth more for it.
+        let running = |request: &&Request| !request.finished && request.live().next().is_some();
+        let mut running = self.requests.values().filter(running).count() as f64;
         for (rank, id, class, memory) in waiting {
             let priority = self.priority(rank);
             let Some(request) = self.requests.get(&id) else { continue };
             let fresh = request.attempts.is_empty();
-            let may = memory < no_room[class] && self.further_attempt(request, false);
+            let quick = usize::from(priority) == PRIORITY_STEPS.len();
+            let opens = quick || running < self.settings.max_open as f64 * SLOW_OPEN;
+            let may = opens && memory < no_room[class] && self.further_attempt(request, false);
             if let Some(engine) = may.then(|| self.place(&id, priority)).flatten() {
                 self.send(&id, engine, priority, out);
+                running += 1.0;
                 continue;
             }
             if may && fresh && alike {
