--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,7 +80,7 @@
 /// Open requests up to which each event is followed by a look at all that waits.
 const FEW: usize = 300;
 /// Share of the requests that may be open from which on only the most urgent are sent.
-const SLOW_OPEN: f64 = 0.7;
+const SLOW_OPEN: f64 = 0.85;
 /// ms of work taken for a request without an estimate.
 const UNKNOWN_WORK: Millis = 1_000.0;
 
