Read the configuration again on SIGHUP and move the coordinator's stream

At fault: src/main.rs took SIGTERM and SIGINT only, so SIGHUP kept its default; net/coordinator.rs held one address for good. Now SIGHUP is taken before anything else is done, the stream's socket is shut from the signal thread (the reader wakes at once), known events are applied by number, a database's number ends with it, and an event that is no JSON ends the stream. Checked: tests/proxy.rs plays the coordinator; the SIGHUP test fails with the old program, which is gone by then.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,11 +4,11 @@
 mod facade;
 mod net;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use config::Config;
@@ -23,7 +23,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Runs the proxy in the foreground until SIGTERM.
+    /// Runs the proxy in the foreground until SIGTERM; SIGHUP has it read the configuration again.
     Serve {
         /// The configuration.
         #[arg(long, env = "EDGE_CONFIG")]
@@ -59,8 +59,11 @@
     }
 }
 
-fn serve(config: &std::path::Path) -> Result<(), String> {
-    let config = Config::load(config)?;
+fn serve(path: &Path) -> Result<(), String> {
+    // First of all: SIGHUP ends a process that does not take it.
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("cannot take signals: {error}"))?;
+    let config = Config::load(path)?;
     // Lines are written by a thread of their own, so that a slow reader of the log stops no coroutine.
     let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .buffered_lines_limit(4096)
@@ -69,15 +72,24 @@
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("gaugestep=info"));
     tracing_subscriber::fmt().with_writer(writer).with_env_filter(filter).with_ansi(false).init();
     net::task::set_up();
-    let mut signals =
-        Signals::new([SIGTERM, SIGINT]).map_err(|error| format!("cannot take signals: {error}"))?;
     let name = config.name.clone();
     let server = net::server::Server::start(config)?;
     tracing::info!(name, "serving");
-    if let Some(signal) = signals.forever().next() {
+    for signal in signals.forever() {
+        if signal == SIGHUP {
+            match Config::load(path) {
+                Ok(config) => {
+                    server.reconfigure(&config);
+                    tracing::info!("took the new configuration");
+                }
+                Err(error) => tracing::error!("the old configuration stays in force: {error}"),
+            }
+            continue;
+        }
         tracing::info!(signal, "draining");
         server.drain();
         tracing::info!("done");
+        break;
     }
     Ok(())
 }
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io::{self, Read as _, Write as _};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,6 +15,8 @@
 
 /// A comment comes each second: silence for longer means that the connection is dead.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// A coordinator that cannot be reached within this time is tried again.
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Between tries to connect.
 const PAUSE: Duration = Duration::from_millis(200);
 /// The longest line of the stream.
@@ -23,18 +25,57 @@
 /// The list of databases as the coordinator tells it.
 pub struct Roster {
     gateway: Arc<Gateway>,
-    /// The number of the last event, and the module's numbers of the databases.
-    known: Mutex<(u64, HashMap<String, EngineId>)>,
+    known: Mutex<Known>,
+    place: Mutex<Place>,
+}
+
+/// What has been told so far.
+#[derive(Default)]
+struct Known {
+    /// The number of the last event.
+    index: u64,
+    /// The module's numbers of the databases that are listed. Guards against growth: whoever goes is forgotten,
+    /// and its number is not given again.
+    engines: HashMap<String, EngineId>,
+    next: u32,
+}
+
+/// Where the coordinator is, and the connection to it.
+struct Place {
+    address: Option<SocketAddr>,
+    open: Option<std::net::TcpStream>,
 }
 
 impl Roster {
-    /// A roster that has seen events up to `index`.
-    pub fn new(gateway: Arc<Gateway>, index: u64) -> Self {
-        Roster { gateway, known: Mutex::new((index, HashMap::new())) }
+    /// A roster that knows nothing yet and will follow the coordinator at `address`.
+    pub fn new(gateway: Arc<Gateway>, address: Option<SocketAddr>) -> Self {
+        Roster { gateway, known: Mutex::default(), place: Mutex::new(Place { address, open: None }) }
+    }
+
+    /// Takes the events of a configuration; those known already are skipped.
+    pub fn know(&self, index: u64, events: &[Value]) {
+        for event in events {
+            // An event of the start may lack a number: the list's own then stands for it.
+            self.event(event["index"].as_u64().or(Some(index)), event);
+        }
+        let mut known = lock(&self.known);
+        known.index = known.index.max(index);
+    }
+
+    /// The coordinator is at this address from now on. Guards against waiting for the old one's silence: the
+    /// connection to it is shut, which wakes the coroutine that reads it.
+    pub fn move_to(&self, address: Option<SocketAddr>) {
+        let mut place = lock(&self.place);
+        if place.address != address {
+            place.address = address;
+            if let Some(open) = place.open.take() {
+                let _ = open.shutdown(Shutdown::Both);
+            }
+        }
     }
 
     /// Applies one event. What cannot be read is logged and passed over.
-    pub fn apply(&self, event: &Value) {
+    fn apply(&self, event: &Value) {
         let endpoints = &event["endpoints"];
         let whole = endpoints["complete"].as_bool().unwrap_or(false);
         let Some(members) = endpoints["members"].as_array() else {
@@ -49,6 +90,7 @@
         }
         if whole {
             let engines: Vec<EngineId> = entries.iter().map(|entry| entry.engine).collect();
+            lock(&self.known).engines.retain(|_, engine| engines.contains(engine));
             self.gateway.lines.only(&engines);
         }
         tracing::info!(whole, members = entries.len(), "databases listed");
@@ -64,10 +106,7 @@
             _ => return None,
         };
         let address: Option<SocketAddr> = member["host_port"].as_str().and_then(|text| text.parse().ok());
-        let mut known = lock(&self.known);
-        let next = EngineId(known.1.len() as u32);
-        let engine = *known.1.entry(name.to_owned()).or_insert(next);
-        drop(known);
+        let engine = self.number(name, readiness == Readiness::Gone)?;
         self.gateway.lines.listed(engine, address, readiness == Readiness::Up);
         let names = &self.gateway.names;
         let place = |names: &[String], key: &str| {
@@ -86,22 +125,52 @@
         })
     }
 
-    /// Follows the coordinator for good.
-    pub fn follow(&self, address: SocketAddr) {
+    /// The module's number of a database, which ends with it; none if it goes without ever having been listed.
+    fn number(&self, name: &str, gone: bool) -> Option<EngineId> {
+        let mut known = lock(&self.known);
+        if gone {
+            return known.engines.remove(name);
+        }
+        if let Some(engine) = known.engines.get(name) {
+            return Some(*engine);
+        }
+        let engine = EngineId(known.next);
+        known.next += 1;
+        known.engines.insert(name.to_owned(), engine);
+        Some(engine)
+    }
+
+    /// Follows the coordinator for good, wherever it moves.
+    pub fn follow(&self) {
         loop {
-            match self.stream(address) {
-                Ok(()) => tracing::debug!("the coordinator's stream ended"),
-                Err(error) => tracing::info!("the coordinator's stream broke: {error}"),
+            let address = lock(&self.place).address;
+            match address.map(|address| self.stream(address)) {
+                None => {}
+                Some(Ok(())) => tracing::debug!("the coordinator's stream ended"),
+                Some(Err(error)) => tracing::info!("the coordinator's stream broke: {error}"),
+            }
+            let mut place = lock(&self.place);
+            place.open = None;
+            let moved = place.address != address;
+            drop(place);
+            if !moved {
+                may::coroutine::sleep(PAUSE);
             }
-            may::coroutine::sleep(PAUSE);
         }
     }
 
     /// One connection to the coordinator.
     fn stream(&self, address: SocketAddr) -> io::Result<()> {
-        let mut socket = TcpStream::connect_timeout(&address, SILENCE)?;
+        let mut socket = TcpStream::connect_timeout(&address, CONNECT_WITHIN)?;
         socket.set_read_timeout(Some(SILENCE))?;
-        let last = lock(&self.known).0;
+        {
+            let mut place = lock(&self.place);
+            if place.address != Some(address) {
+                return Ok(());
+            }
+            place.open = Some(socket.inner().try_clone()?);
+        }
+        let last = lock(&self.known).index;
         let ask = format!(
             "GET /v2/stream HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last}\r\n\r\n"
         );
@@ -128,7 +197,7 @@
             let mut at = 0;
             while let Some(end) = text[at..].iter().position(|byte| *byte == b'\n') {
                 let line = &text[at..at + end];
-                event.line(line.strip_suffix(b"\r").unwrap_or(line), |id, data| self.event(id, data));
+                event.line(line.strip_suffix(b"\r").unwrap_or(line), |id, data| self.told(id, data))?;
                 at += end + 1;
             }
             text.drain(..at);
@@ -139,22 +208,24 @@
         }
     }
 
-    /// Takes an event off the stream; those known already are skipped.
-    fn event(&self, id: Option<u64>, data: &str) {
-        let Ok(json) = serde_json::from_str::<Value>(data) else {
-            return tracing::warn!("an event that is not JSON");
-        };
-        let Some(index) = id.or(json["index"].as_u64()) else {
-            return tracing::warn!("an event without number");
-        };
+    /// Takes an event off the stream. One that cannot be read ends the connection: the next one brings it whole.
+    fn told(&self, id: Option<u64>, data: &str) -> io::Result<()> {
+        let json = serde_json::from_str::<Value>(data).map_err(io::Error::other)?;
+        self.event(id.or(json["index"].as_u64()), &json);
+        Ok(())
+    }
+
+    /// Applies an event once: a coordinator may tell it twice, and so may a new configuration.
+    fn event(&self, index: Option<u64>, event: &Value) {
+        let Some(index) = index else { return tracing::warn!("an event without number") };
         {
             let mut known = lock(&self.known);
-            if index <= known.0 {
+            if index <= known.index {
                 return;
             }
-            known.0 = index;
+            known.index = index;
         }
-        self.apply(&json);
+        self.apply(event);
     }
 }
 
@@ -234,13 +305,14 @@
 }
 
 impl Pending {
-    fn line(&mut self, line: &[u8], give: impl FnOnce(Option<u64>, &str)) {
+    fn line(
+        &mut self,
+        line: &[u8],
+        give: impl FnOnce(Option<u64>, &str) -> io::Result<()>,
+    ) -> io::Result<()> {
         if line.is_empty() {
-            if !self.data.is_empty() {
-                give(self.id, &self.data);
-            }
-            *self = Pending::default();
-            return;
+            let Pending { id, data } = std::mem::take(self);
+            return if data.is_empty() { Ok(()) } else { give(id, &data) };
         }
         let line = String::from_utf8_lossy(line);
         let (name, value) = line.split_once(':').unwrap_or((&line, ""));
@@ -256,5 +328,6 @@
             // Comments and all else.
             _ => {}
         }
+        Ok(())
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -31,6 +31,7 @@
 pub struct Server {
     gateway: Arc<Gateway>,
     front: Arc<Front>,
+    roster: Arc<Roster>,
     stop: Arc<AtomicBool>,
     listener: WaitIoWaker,
 }
@@ -54,15 +55,14 @@
             open: AtomicUsize::new(0),
             max_open: config.limits.max_open,
         });
-        let roster = Roster::new(gateway.clone(), config.known_index);
-        for event in &config.known {
-            roster.apply(event);
-        }
+        let roster = Arc::new(Roster::new(gateway.clone(), config.coordinator));
+        roster.know(config.known_index, &config.known);
         let front = Arc::new(Front::new(gateway.clone(), config.seed));
         let listener = CoIo::new(listener).map_err(|error| io::Error::from(error).to_string())?;
         let server = Server {
             gateway: gateway.clone(),
             front: front.clone(),
+            roster: roster.clone(),
             stop: Arc::new(AtomicBool::new(false)),
             listener: listener.waker(),
         };
@@ -72,9 +72,7 @@
         let ticking = gateway.clone();
         start("ticker", Box::new(move || ticking.facade.run_ticker()))?;
         start("sweeper", Box::new(move || gateway.lines.run_sweeper()))?;
-        if let Some(address) = config.coordinator {
-            start("coordinator", Box::new(move || roster.follow(address)))?;
-        }
+        start("coordinator", Box::new(move || roster.follow()))?;
         let watched = front.clone();
         let sweep = move || {
             loop {
@@ -88,6 +86,13 @@
         Ok(server)
     }
 
+    /// Takes a new configuration: where the coordinator is and what it has told. All else is fixed at the start, and
+    /// sessions and attempts go on.
+    pub fn reconfigure(&self, config: &Config) {
+        self.roster.know(config.known_index, &config.known);
+        self.roster.move_to(config.coordinator);
+    }
+
     /// Goes on accepting while clients may still come, finishes what is open, and returns. Blocks a thread.
     pub fn drain(&self) {
         std::thread::sleep(STILL_COMING);
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
@@ -29,22 +29,15 @@
 impl Proxy {
     /// Starts one that knows these databases and waits until it answers an empty query.
     pub fn start(databases: &[&Database]) -> Self {
+        Self::follow(databases, None)
+    }
+
+    /// The same, with a coordinator that it follows.
+    pub fn follow(databases: &[&Database], coordinator: Option<&Coordinator>) -> Self {
         let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let member = |(index, database): (usize, &&Database)| {
-            let at = database.0.local_addr().unwrap();
-            format!(
-                r#"{{"id":"s-{index}","host_port":"{at}","locality":"dc","flavor":"k","phase":"SERVING"}}"#
-            )
-        };
-        let members: Vec<String> = databases.iter().enumerate().map(member).collect();
-        let text = format!(
-            r#"{{"name":"n0","listen":"{address}","seed":"8c1f","limits":{{"sockets":256}},"settings":{SETTINGS},
-            "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"complete":true,"members":[{}]}}}}]}}}}"#,
-            members.join(",")
-        );
         let name = format!("gaugestep-{}-{}.json", std::process::id(), address.port());
         let config = std::env::temp_dir().join(name);
-        std::fs::write(&config, text).unwrap();
+        write_config(&config, address, databases, coordinator);
         let program = env!("CARGO_BIN_EXE_gaugestep");
         let child =
             Command::new(program).arg("serve").env("EDGE_CONFIG", &config).stderr(Stdio::null()).spawn();
@@ -64,9 +57,39 @@
 
     /// Sends SIGTERM and waits for the end.
     pub fn stop(&mut self) -> ExitStatus {
-        Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        self.signal("-TERM");
         self.child.wait().unwrap()
     }
+
+    /// Has it read a configuration with another coordinator.
+    pub fn reconfigure(&self, databases: &[&Database], coordinator: &Coordinator) {
+        write_config(&self.config, self.address, databases, Some(coordinator));
+        self.signal("-HUP");
+    }
+
+    /// Has it read a configuration that cannot be used.
+    pub fn spoil_configuration(&self) {
+        std::fs::write(&self.config, "{").unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        Command::new("kill").arg(name).arg(self.child.id().to_string()).status().unwrap();
+    }
+}
+
+fn write_config(path: &Path, listen: SocketAddr, databases: &[&Database], coordinator: Option<&Coordinator>) {
+    let members = databases.iter().enumerate().map(|(index, it)| it.member(&format!("s-{index}"), "SERVING"));
+    let members: Vec<String> = members.collect();
+    let coordinator = coordinator
+        .map(|it| format!(r#""coordinator":"{}","#, it.0.local_addr().unwrap()))
+        .unwrap_or_default();
+    let text = format!(
+        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f","limits":{{"sockets":256}},"settings":{SETTINGS},{coordinator}
+        "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"complete":true,"members":[{}]}}}}]}}}}"#,
+        members.join(",")
+    );
+    std::fs::write(path, text).unwrap();
 }
 
 impl Drop for Proxy {
@@ -139,14 +162,64 @@
         Database(TcpListener::bind("127.0.0.1:0").unwrap())
     }
 
+    /// Its entry in the coordinator's list.
+    pub fn member(&self, id: &str, phase: &str) -> String {
+        let at = self.0.local_addr().unwrap();
+        format!(r#"{{"id":"{id}","host_port":"{at}","locality":"dc","flavor":"k","phase":"{phase}"}}"#)
+    }
+
     /// The next connection of the proxy.
     pub fn accept(&self) -> Lines {
-        let socket = self.0.accept().unwrap().0;
-        socket.set_read_timeout(Some(PATIENCE)).unwrap();
-        Lines(BufReader::new(socket))
+        Lines(BufReader::new(accept(&self.0)))
     }
 }
 
+/// A coordinator that listens; what it tells is up to the test.
+pub struct Coordinator(pub TcpListener);
+
+impl Coordinator {
+    pub fn new() -> Self {
+        Coordinator(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// The next stream that the proxy asks for, and the number it asks to go on from.
+    pub fn accept(&self) -> (TcpStream, u64) {
+        let (mut reader, mut last) = (BufReader::new(accept(&self.0)), 0);
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).unwrap();
+            if let Some(number) = line.strip_prefix("Last-Event-ID: ") {
+                last = number.trim().parse().unwrap();
+            }
+            if line == "\r\n" {
+                reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap();
+                return (reader.into_inner(), last);
+            }
+        }
+    }
+}
+
+/// The next connection to a listener, which a failing proxy may never make.
+fn accept(listener: &TcpListener) -> TcpStream {
+    let until = Instant::now() + PATIENCE;
+    listener.set_nonblocking(true).unwrap();
+    loop {
+        if let Ok((socket, _)) = listener.accept() {
+            socket.set_nonblocking(false).unwrap();
+            socket.set_read_timeout(Some(PATIENCE)).unwrap();
+            return socket;
+        }
+        assert!(Instant::now() < until, "the proxy does not connect");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// An event of the coordinator.
+pub fn event(index: u64, members: &[String]) -> String {
+    let members = members.join(",");
+    format!("id: {index}\ndata: {{\"endpoints\":{{\"complete\":false,\"members\":[{members}]}}}}\n\n")
+}
+
 /// A connection at a database.
 pub struct Lines(pub BufReader<TcpStream>);
 
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -5,7 +5,7 @@
 
 use std::io::Write as _;
 
-use proxy::{Client, Database, Proxy, query};
+use proxy::{Client, Coordinator, Database, Proxy, event, query};
 
 #[test]
 fn a_result_of_two_pages_is_served_whole_and_the_statement_goes_on_unchanged() {
@@ -117,3 +117,61 @@
     assert!(proxy.stop().success());
     assert_eq!(answer.join().unwrap(), "TDC");
 }
+
+/// Guards against ending on SIGHUP, waiting for the old coordinator's silence and applying an event twice.
+#[test]
+fn sighup_moves_to_the_new_coordinator_and_leaves_attempts_alone() {
+    let (first, second) = (Database::new(), Database::new());
+    let (old, new) = (Coordinator::new(), Coordinator::new());
+    let proxy = Proxy::follow(&[&first], Some(&old));
+    let (mut stream, last) = old.accept();
+    assert_eq!(last, 1);
+    let mut client = proxy.client();
+    client.send(&query("lookup", 1, 15_000));
+    let mut lines = first.accept();
+    let serve = lines.command();
+    // The new configuration holds event 1 again, by which the first database would be back.
+    let gone = [first.member("s-0", "DRAINING"), second.member("s-9", "SERVING")];
+    stream.write_all(event(2, &gone).as_bytes()).unwrap();
+    reached(&proxy, &second);
+    proxy.spoil_configuration();
+    proxy.reconfigure(&[&first], &new);
+    let (_stream, last) = new.accept();
+    assert_eq!(last, 2);
+    assert_eq!(std::io::Read::read(&mut stream, &mut [0]).unwrap(), 0, "the old stream is shut");
+    lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
+    assert_eq!(client.answer(), "TDC");
+    reached(&proxy, &second);
+}
+
+/// Guards against applying half an event, and against a list that never comes after a stream that breaks.
+#[test]
+fn an_event_cut_off_counts_only_once_it_has_come_whole() {
+    let (first, second) = (Database::new(), Database::new());
+    let coordinator = Coordinator::new();
+    let proxy = Proxy::follow(&[&first], Some(&coordinator));
+    let told = event(2, &[first.member("s-0", "DELETED"), second.member("s-9", "SERVING")]);
+    let (mut stream, _) = coordinator.accept();
+    stream.write_all(&told.as_bytes()[..told.len() - 1]).unwrap();
+    drop(stream);
+    let (mut stream, last) = coordinator.accept();
+    assert_eq!(last, 1);
+    stream.write_all(told.as_bytes()).unwrap();
+    stream.write_all(told.as_bytes()).unwrap();
+    reached(&proxy, &second);
+}
+
+/// Sends short queries until one reaches this database, as it does once the proxy has been told of it.
+fn reached(proxy: &Proxy, database: &Database) {
+    database.0.set_nonblocking(true).unwrap();
+    let mut client = proxy.client();
+    for id in 1_000.. {
+        client.send(&query("lookup", id, 100));
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        if database.0.accept().is_ok() {
+            return;
+        }
+        assert!(id < 1_100, "the event is never applied");
+        client.answer();
+    }
+}
