--- a/src/config.rs
+++ b/src/config.rs
@@ -11,6 +11,8 @@
 pub struct Limits {
     /// Descriptors that the process may hold.
     pub descriptors: usize,
+    /// Memory that the process may hold, in bytes.
+    pub memory_bytes: usize,
     /// Attempts that one connection to a database carries together.
     pub multiplex: usize,
     /// A connection that is not up within this time has failed, in milliseconds.
@@ -99,6 +101,7 @@
         };
         let limits = Limits {
             descriptors: whole(&json["limits"], "sockets", 1024)? as usize,
+            memory_bytes: whole(&json["limits"], "memory_mb", 192)?.saturating_mul(1024 * 1024) as usize,
             multiplex: (whole(&told["limits"], "multiplex", 100)? as usize).max(1),
             dial_timeout_ms: whole(&told["limits"], "dial_timeout_ms", 250)?.max(1),
             idle_ms: whole(&told["limits"], "conn_idle_ms", 30_000)?,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -4,8 +4,7 @@
 //! the coroutines concerned. Each request has one [`Mailbox`]; whatever reaches its coroutine comes through it.
 //! Nothing is decided here.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -54,6 +53,8 @@
     Refuse(Millis),
     /// Fail it.
     Fail,
+    /// Nothing was taken: a request with this id is open.
+    Duplicate,
     /// Nothing: the request is over.
     Over,
 }
@@ -133,13 +134,30 @@
 struct Inner<Back> {
     dispatcher: Dispatcher,
     requests: BTreeMap<RequestId, Entry<Back>>,
-    /// Microseconds of the clock, and what is due then.
-    alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
+    /// Microseconds of the clock, and what is due then. A request's deadline goes with it: a client may name one that
+    /// lies an hour ahead.
+    alarms: BTreeSet<(u64, Alarm)>,
     logs: Vec<String>,
+    /// All is answered by then.
+    closing_by: Millis,
     /// When the module last settled, and whether an alarm is set for it to do so again.
     settled: (Millis, bool),
 }
 
+impl<Back> Inner<Back> {
+    /// Forgets a request and its deadline.
+    fn remove(&mut self, id: &RequestId) {
+        if let Some(entry) = self.requests.remove(id) {
+            self.alarms.remove(&(micros(entry.due), Alarm::Deadline(id.clone())));
+        }
+    }
+
+    /// When the next alarm goes off.
+    fn next(&self) -> u64 {
+        self.alarms.first().map_or(u64::MAX, |(at, _)| *at)
+    }
+}
+
 /// The dispatcher, its clock and its timers.
 pub struct Facade<Back> {
     inner: Mutex<Inner<Back>>,
@@ -163,8 +181,9 @@
         let inner = Inner {
             dispatcher: Dispatcher::new(settings, seed)?,
             requests: BTreeMap::new(),
-            alarms: BinaryHeap::new(),
+            alarms: BTreeSet::new(),
             logs: Vec::new(),
+            closing_by: f64::INFINITY,
             settled: (0.0, false),
         };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
@@ -189,12 +208,17 @@
     }
 
     /// Hands a new request to the module and blocks until there is something to do for it.
-    pub fn pick(&self, new: NewRequest, mailbox: &Mailbox<Back>) -> Step {
+    pub fn pick(&self, mut new: NewRequest, mailbox: &Mailbox<Back>) -> Step {
         let id = new.id.clone();
         let mut inner = lock(&self.inner);
+        // Guards the request that is open: its answer would go to whoever names its id.
+        if inner.requests.contains_key(&id) {
+            return Step::Duplicate;
+        }
+        new.due = new.due.min(inner.closing_by);
         let entry =
             Entry { post: mailbox.address(), due: new.due, over: false, out: None, sent: 0, priority: 1 };
-        inner.alarms.push(Reverse((micros(new.due), Alarm::Deadline(id.clone()))));
+        inner.alarms.insert((micros(new.due), Alarm::Deadline(id.clone())));
         inner.requests.insert(id.clone(), entry);
         self.feed(inner, Some(Event::Arrived(new)));
         self.wait(&id, mailbox)
@@ -210,7 +234,7 @@
         entry.over |= end.outcome == Outcome::Served;
         let over = entry.over;
         if over {
-            inner.requests.remove(id);
+            inner.remove(id);
         }
         self.feed(
             inner,
@@ -239,7 +263,7 @@
         let Some(entry) = inner.requests.get_mut(id) else { return };
         entry.over = true;
         if entry.out.is_none() {
-            inner.requests.remove(id);
+            inner.remove(id);
         }
         self.feed(inner, Some(Event::ClientGone(id.clone())));
     }
@@ -250,13 +274,28 @@
         self.feed(lock(&self.inner), Some(event));
     }
 
+    /// The proxy will end: every request, taken or yet to come, is due by then at the latest.
+    pub fn close_by(&self, at: Millis) {
+        let mut inner = lock(&self.inner);
+        inner.closing_by = at;
+        let Inner { requests, alarms, .. } = &mut *inner;
+        for (id, entry) in requests.iter_mut().filter(|(_, entry)| entry.due > at) {
+            alarms.remove(&(micros(entry.due), Alarm::Deadline(id.clone())));
+            alarms.insert((micros(at), Alarm::Deadline(id.clone())));
+            entry.due = at;
+        }
+        self.feed(inner, Some(Event::ClosingBy(at)));
+    }
+
     /// Fires what is due.
     pub fn tick(&self) {
         loop {
             let now = self.now();
             let mut inner = lock(&self.inner);
-            let due = inner.alarms.peek().is_some_and(|Reverse((at, _))| *at <= micros(now));
-            let Some(Reverse((_, alarm))) = (if due { inner.alarms.pop() } else { None }) else { return };
+            if inner.next() > micros(now) {
+                return;
+            }
+            let Some((_, alarm)) = inner.alarms.pop_first() else { return };
             match alarm {
                 Alarm::Timer(timer) => self.feed(inner, Some(Event::Timer(timer))),
                 Alarm::Settle => {
@@ -278,7 +317,7 @@
         lock(&self.ticker).0 = Some(may::coroutine::current());
         loop {
             let now = micros(self.now());
-            let next = lock(&self.inner).alarms.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+            let next = lock(&self.inner).next();
             lock(&self.ticker).1 = next;
             // Whole milliseconds: may keeps a list for every length of time that was ever waited for.
             let wait = next.saturating_sub(now).div_ceil(1_000).clamp(1, 1_000);
@@ -339,9 +378,9 @@
         if inner.settled.0 < now && !inner.settled.1 {
             inner.settled.1 = true;
             let at = micros(inner.settled.0 + SETTLE_EVERY);
-            inner.alarms.push(Reverse((at, Alarm::Settle)));
+            inner.alarms.insert((at, Alarm::Settle));
         }
-        let next = inner.alarms.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+        let next = inner.next();
         let logs = std::mem::take(&mut inner.logs);
         drop(inner);
         let ticker = lock(&self.ticker);
@@ -407,7 +446,7 @@
                 }
             }
             Action::SetTimer { timer, delay } => {
-                inner.alarms.push(Reverse((micros(now + delay), Alarm::Timer(timer))));
+                inner.alarms.insert((micros(now + delay), Alarm::Timer(timer)));
             }
             Action::Log(text) => inner.logs.push(text),
         }
@@ -419,7 +458,7 @@
         entry.over = true;
         let _ = entry.post.send(letter);
         if entry.out.is_none() {
-            inner.requests.remove(id);
+            inner.remove(id);
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -404,6 +404,8 @@
     Noted(RequestId, AttemptNo, Note),
     /// The client left, or the answer is overdue.
     ClientGone(RequestId),
+    /// The dispatcher will end: its requests are due by then at the latest.
+    ClosingBy(Millis),
     /// A probe came back.
     Probed(EngineId, Outcome, Option<LoadReport>),
     /// A timer came due.
--- a/src/net/back/lines.rs
+++ b/src/net/back/lines.rs
@@ -6,10 +6,10 @@
 use std::collections::HashMap;
 use std::io::Write as _;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
-use gaugestep::interface::{AttemptNo, Cost, EngineId, LoadReport, Note, RequestId};
+use gaugestep::interface::{AttemptNo, Cost, EngineId, LoadReport, Note, Readiness, RequestId};
 use may::io::WaitIo as _;
 use may::net::TcpStream;
 
@@ -21,9 +21,16 @@
 
 /// The longest line that a database may send, and the longest page.
 const LONGEST_LINE: usize = 4 * 1024;
-const LONGEST_PAGE: usize = 16 * 1024;
-/// The most pages of a result.
+const LONGEST_PAGE: usize = 6_000;
+/// The most pages of a result, the most bytes of them all, and the columns of each row.
 const MOST_PAGES: usize = 64;
+const LONGEST_RESULT: usize = 48_000;
+const COLUMNS: usize = 3;
+/// Figures above this are noise.
+const MOST: f64 = 1e9;
+/// An answer that has begun must be whole within this time. Guards against a length that is too long: the connection
+/// is not silent, but whatever comes is taken for the answer's own bytes.
+const WHOLE_WITHIN: Duration = Duration::from_millis(500);
 /// A connection with requests out that has been silent for so long is checked...
 const CHECK_AFTER: Duration = Duration::from_millis(1_000);
 /// ...and given up if the check brings nothing for so long.
@@ -40,6 +47,8 @@
     /// Descriptors for connections to databases.
     budget: usize,
     pools: Mutex<HashMap<EngineId, Pool>>,
+    /// All that are open, also to databases that are gone.
+    connections: Mutex<Vec<Weak<Connection>>>,
 }
 
 /// The connections to one database.
@@ -68,10 +77,14 @@
     out: Outbox,
     calls: HashMap<String, Call>,
     heard: Instant,
+    /// When the answer began of which a part has come.
+    partial: Option<Instant>,
     /// When the last check went out that nothing has followed.
     checked: Option<Instant>,
     /// Set to have the connection closed.
     close: Option<Ending>,
+    /// The database is gone: closed once nothing is open on it.
+    retired: bool,
 }
 
 /// One attempt on a connection.
@@ -100,42 +113,41 @@
 impl Lines {
     /// No connections yet; `budget` descriptors may be used.
     pub fn new(limits: Limits, names: Names, budget: usize) -> Self {
-        Lines { limits, names, budget, pools: Mutex::new(HashMap::new()) }
+        Lines { limits, names, budget, pools: Mutex::default(), connections: Mutex::default() }
     }
 
-    /// A database is listed at this address. Unless `accepting`, nothing new goes to it from now on: what waits
-    /// for its connection is turned back.
-    pub fn listed(&self, engine: EngineId, address: Option<SocketAddr>, accepting: bool) {
+    /// A database is listed at this address, or is gone. Unless `Up`, nothing new goes to it from now on: what waits
+    /// for its connection is turned back. What is open there still ends in its own way.
+    pub fn listed(&self, engine: EngineId, address: Option<SocketAddr>, readiness: Readiness) {
         let mut pools = lock(&self.pools);
-        match (pools.get_mut(&engine), address) {
-            (Some(pool), address) => {
-                pool.accepting = accepting;
-                if let Some(address) = address.filter(|address| *address != pool.address) {
-                    pool.address = address;
-                }
-                if !accepting {
-                    for connection in &pool.connections {
-                        connection.turn_back();
-                    }
-                }
+        if readiness == Readiness::Gone {
+            // Guards against growth, and against meeting an old connection at an address that is used again.
+            if let Some(pool) = pools.remove(&engine) {
+                pool.close();
             }
-            (None, Some(address)) => {
-                pools.insert(engine, Pool { address, accepting, connections: Vec::new() });
+            return;
+        }
+        let Some(address) = address else { return };
+        let new = || Pool { address, accepting: true, connections: Vec::new() };
+        let pool = pools.entry(engine).or_insert_with(new);
+        pool.address = address;
+        pool.accepting = readiness == Readiness::Up;
+        if !pool.accepting {
+            for connection in &pool.connections {
+                connection.turn_back();
             }
-            (None, None) => {}
         }
     }
 
     /// Databases that a whole list does not name are gone.
     pub fn only(&self, engines: &[EngineId]) {
-        for (engine, pool) in lock(&self.pools).iter_mut() {
-            if !engines.contains(engine) {
-                pool.accepting = false;
-                for connection in &pool.connections {
-                    connection.turn_back();
-                }
+        lock(&self.pools).retain(|engine, pool| {
+            let listed = engines.contains(engine);
+            if !listed {
+                pool.close();
             }
-        }
+            listed
+        });
     }
 
     /// Starts an attempt; its news go to `post`. `left` is how long the client still waits.
@@ -179,20 +191,27 @@
         let mut pools = lock(&self.pools);
         let engines = pools.values().filter(|pool| pool.accepting).count().max(1);
         let most = (self.budget / engines).max(1);
-        let held: usize = pools.values().map(|pool| pool.connections.len()).sum();
+        let held = lock(&self.connections).iter().filter(|open| open.strong_count() > 0).count();
         let pool = pools.get_mut(&engine).filter(|pool| pool.accepting)?;
         let carried = |connection: &Arc<Connection>| {
             let state = lock(&connection.state);
             (state.phase != Phase::Closed && state.close.is_none()).then_some(state.calls.len())
         };
         let least = pool.connections.iter().filter_map(|c| Some((carried(c)?, c))).min_by_key(|(n, _)| *n);
+        // One request on each, while descriptors last. Guards the others against an answer that is spoilt: it ends
+        // the connection for all that is open on it.
+        let full = pool.connections.len() >= most || held >= self.budget;
         match least {
-            Some((calls, connection)) if calls < self.limits.multiplex => return Some(connection.clone()),
-            _ if pool.connections.len() >= most || held >= self.budget => return None,
+            Some((0, connection)) => return Some(connection.clone()),
+            Some((calls, connection)) if full && calls < self.limits.multiplex => {
+                return Some(connection.clone());
+            }
+            _ if full => return None,
             _ => {}
         }
         let connection = Arc::new(Connection::new());
         pool.connections.push(connection.clone());
+        lock(&self.connections).push(Arc::downgrade(&connection));
         let (lines, address, owned) = (self.clone(), pool.address, connection.clone());
         drop(pools);
         let spawned = task::spawn("database", move || owned.run(&lines, engine, address));
@@ -208,9 +227,6 @@
         let mut pools = lock(&self.pools);
         if let Some(pool) = pools.get_mut(&engine) {
             pool.connections.retain(|other| !Arc::ptr_eq(other, connection));
-            if !pool.accepting && pool.connections.is_empty() {
-                pools.remove(&engine);
-            }
         }
     }
 
@@ -220,9 +236,9 @@
         let idle = Duration::from_millis(self.limits.idle_ms * 2 / 3);
         loop {
             may::coroutine::sleep(SWEEP);
-            let connections: Vec<_> =
-                lock(&self.pools).values().flat_map(|pool| pool.connections.clone()).collect();
-            for connection in connections {
+            let mut connections = lock(&self.connections);
+            connections.retain(|connection| connection.strong_count() > 0);
+            for connection in connections.iter().filter_map(Weak::upgrade) {
                 if lock(&connection.state).look_over(idle) {
                     connection.wake();
                 }
@@ -231,6 +247,19 @@
     }
 }
 
+impl Pool {
+    /// Its database is gone: connections close, those with something open as soon as that has ended.
+    fn close(&self) {
+        for connection in &self.connections {
+            connection.turn_back();
+            let mut state = lock(&connection.state);
+            state.retired = true;
+            drop(state);
+            connection.wake();
+        }
+    }
+}
+
 impl Handle {
     /// Gives the attempt up.
     pub fn cancel(&self) {
@@ -301,6 +330,10 @@
         if self.phase != Phase::Up || self.close.is_some() {
             return false;
         }
+        if self.partial.is_some_and(|since| since.elapsed() >= WHOLE_WITHIN) {
+            self.close = Some(Ending::Garbled);
+            return true;
+        }
         if self.calls.is_empty() {
             self.checked = None;
             if silent >= idle {
@@ -327,8 +360,10 @@
             out: Outbox::default(),
             calls: HashMap::new(),
             heard: Instant::now(),
+            partial: None,
             checked: None,
             close: None,
+            retired: false,
         };
         Connection { state: Mutex::new(state), waker: OnceLock::new() }
     }
@@ -401,6 +436,9 @@
             if let Some(ending) = state.close {
                 return ending;
             }
+            if state.retired && state.calls.is_empty() && state.out.waiting() == 0 {
+                return Ending::Closed;
+            }
             if state.out.flush(stream.socket()).is_err() {
                 return Ending::Reset;
             }
@@ -422,6 +460,9 @@
             at += answer.length;
             state.answered(&answer)?;
         }
+        // Bytes of an answer that is not whole; its clock starts anew behind each whole one.
+        let since = state.partial.filter(|_| at == 0);
+        state.partial = (at < input.len()).then(|| since.unwrap_or_else(Instant::now));
         Ok(at)
     }
 }
@@ -470,13 +511,28 @@
     }
 
     fn number(&self, name: &str) -> Option<f64> {
-        self.field(name)?.parse().ok().filter(|number: &f64| number.is_finite())
+        self.field(name)?.parse().ok().filter(|number| (0.0..=MOST).contains(number))
+    }
+
+    /// A field that holds a whole number, if it is there.
+    fn whole(&self, name: &str) -> Result<Option<usize>, Ending> {
+        self.field(name).map(|text| text.parse().map_err(|_| Ending::Garbled)).transpose()
+    }
+
+    /// The page that it brings. Guards the client against noise: what is no whole rows is no page.
+    fn page(&self) -> Result<Vec<u8>, Ending> {
+        let text = std::str::from_utf8(self.body).map_err(|_| Ending::Garbled)?;
+        let printable = text.chars().all(|c| !c.is_control() || c == '\t' || c == '\n');
+        let whole = text.split_inclusive('\n').all(|row| {
+            row.ends_with('\n') && row.bytes().filter(|byte| *byte == b'\t').count() == COLUMNS - 1
+        });
+        if printable && whole { Ok(self.body.to_vec()) } else { Err(Ending::Garbled) }
     }
 
     fn load(&self) -> Option<LoadReport> {
         let mut load = LoadReport::default();
         for (name, value) in self.field("use")?.split(';').filter_map(|pair| pair.split_once(':')) {
-            let value = value.parse().ok().filter(|number: &f64| number.is_finite());
+            let value = value.parse().ok().filter(|number| (0.0..=MOST).contains(number));
             match name {
                 "rif" | "inflight" => load.held = value,
                 "q" | "queue" => load.queued = value,
@@ -520,12 +576,16 @@
                 return Ok(());
             }
             "HIT" => {
-                let total = answer.number("total").unwrap_or(1.0).max(1.0) as usize;
-                if total > MOST_PAGES || call.result.is_some() {
+                // A second copy of an answer that is good brings nothing.
+                if call.result.is_some() {
+                    return Ok(());
+                }
+                let total = answer.whole("total")?.unwrap_or(1).max(1);
+                if total > MOST_PAGES {
                     return Err(Ending::Garbled);
                 }
                 let mut pages: Pages = vec![Vec::new(); total];
-                pages[0] = answer.body.to_vec();
+                pages[0] = answer.page()?;
                 let (cost, load) = (answer.cost(), answer.load());
                 let end = AttemptEnding { ending: Ending::Served, cost, load, pages };
                 call.result = Some(PartResult { end, missing: total - 1 });
@@ -538,16 +598,25 @@
                 Ending::Served
             }
             "PART" => {
-                let index = answer.number("index").ok_or(Ending::Garbled)? as usize;
+                let index = answer.whole("index")?.ok_or(Ending::Garbled)?;
                 let Some(result) = &mut call.result else { return Err(Ending::Garbled) };
-                let page = result.end.pages.get_mut(index).filter(|page| index > 0 && page.is_empty());
-                *page.ok_or(Ending::Garbled)? = answer.body.to_vec();
+                let page = result.end.pages.get_mut(index).filter(|_| index > 0).ok_or(Ending::Garbled)?;
+                if !page.is_empty() {
+                    return Ok(());
+                }
+                *page = answer.page()?;
+                // A page without rows would be asked for for good.
+                if page.is_empty() || result.end.pages.iter().map(Vec::len).sum::<usize>() > LONGEST_RESULT {
+                    return Err(Ending::Garbled);
+                }
                 result.missing -= 1;
                 if result.missing > 0 {
                     return Ok(());
                 }
                 Ending::Served
             }
+            // Guards the unsafe class: what has begun to answer has run, whatever is said of it then.
+            "SHED" | "LATE" if call.result.is_some() => return Err(Ending::Garbled),
             "SHED" => Ending::Shed,
             "LATE" => Ending::Late,
             "FAULT" => Ending::Fault,
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -107,7 +107,7 @@
         };
         let address: Option<SocketAddr> = member["host_port"].as_str().and_then(|text| text.parse().ok());
         let engine = self.number(name, readiness == Readiness::Gone)?;
-        self.gateway.lines.listed(engine, address, readiness == Readiness::Up);
+        self.gateway.lines.listed(engine, address, readiness);
         let names = &self.gateway.names;
         let place = |names: &[String], key: &str| {
             let name = member[key].as_str();
--- a/src/net/front/fields.rs
+++ b/src/net/front/fields.rs
@@ -20,6 +20,9 @@
 /// The longest time that a client may wait, in milliseconds.
 const LONGEST_BUDGET: f64 = 3_600_000.0;
 
+/// The most work, in milliseconds, and the most memory, in MB, that an estimate may name: more is no estimate.
+const MOST: f64 = 1e9;
+
 /// Takes the comment off a query: its fields and the statement behind it.
 pub fn split(query: &[u8]) -> Result<(Fields<'_>, &[u8]), String> {
     let query = query.trim_ascii_start();
@@ -35,8 +38,8 @@
     for pair in text.split(',').map(str::trim).filter(|pair| !pair.is_empty()) {
         let (name, value) = pair.split_once('=').ok_or_else(|| format!("'{pair}' is no name=value pair"))?;
         let number = || match value.parse::<f64>() {
-            Ok(number) if number.is_finite() && number >= 0.0 => Ok(number),
-            _ => Err(format!("field '{name}' is '{value}', not a number of 0 or more")),
+            Ok(number) if (0.0..=MOST).contains(&number) => Ok(number),
+            _ => Err(format!("field '{name}' is '{value}', not a number from 0 to {MOST}")),
         };
         match name {
             "method" => fields.method = value,
@@ -59,6 +62,10 @@
     if statement.is_empty() {
         return Err("the statement is empty".into());
     }
+    // What no database can read would cost the connection, and all else that is open on it.
+    if std::str::from_utf8(statement).is_err() {
+        return Err("the statement is not UTF-8".into());
+    }
     Ok((fields, statement))
 }
 
--- a/src/net/front/message.rs
+++ b/src/net/front/message.rs
@@ -2,9 +2,8 @@
 
 use crate::net::Pages;
 
-/// The longest start-up message and the longest of any other kind that a client may send.
+/// The longest start-up message.
 const LONGEST_START: usize = 10_000;
-const LONGEST: usize = 1024 * 1024;
 
 /// Codes that stand in place of a version.
 const CANCEL: u32 = 80_877_102;
@@ -66,8 +65,9 @@
     Ok(Some((start, length)))
 }
 
-/// The first message of an open session in `input`, if it is whole.
-pub fn next(input: &[u8]) -> Result<Option<Message<'_>>, Malformed> {
+/// The first message of an open session in `input`, if it is whole. One longer than `longest` is an error as soon as
+/// its length is read: nothing of it is kept.
+pub fn next(input: &[u8], longest: usize) -> Result<Option<Message<'_>>, Malformed> {
     let (Some(kind), Some(length)) = (input.first(), be32(input.get(1..).unwrap_or_default())) else {
         return Ok(None);
     };
@@ -75,7 +75,7 @@
     if length < 4 {
         return Err(("08P01", "invalid message length"));
     }
-    if length > LONGEST {
+    if length > longest {
         return Err(("54000", "message too long"));
     }
     let body = input.get(5..1 + length);
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -4,7 +4,7 @@
 //! session and wakes it; so the session sees at any time that its client has left.
 
 use std::collections::HashMap;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -21,11 +21,22 @@
 
 /// Milliseconds kept back from a client's time for the answer's way.
 const ANSWER_WAY: f64 = 5.0;
-/// A client must have said who it is within this time, and must go on reading within the other.
-const START_WITHIN: Duration = Duration::from_secs(10);
+/// A client must have said who it is, and must have sent a message that it began, within this time.
+const SAY_WITHIN: Duration = Duration::from_secs(2);
+/// A client must go on reading within this time.
 const READ_WITHIN: Duration = Duration::from_secs(30);
+/// After a fatal error a client may go on sending for so long in all, and be silent for so long, before its connection
+/// is closed under it.
+const LEAVE_WITHIN: Duration = Duration::from_secs(5);
+const LINGER: Duration = Duration::from_millis(500);
 /// Bytes read ahead of what is being answered.
 const READ_AHEAD: usize = 64 * 1024;
+/// What one session does before others get their turn: reads and messages at a time, rounds, and the pause then. A
+/// pause and no mere yield: coroutines that yield run before anything else is read.
+const READS: usize = 16;
+const MESSAGES: usize = 16;
+const ROUNDS: usize = 8;
+const PAUSE: Duration = Duration::from_millis(1);
 
 /// What the sessions of the front share.
 pub struct Front {
@@ -34,24 +45,50 @@
     next: AtomicU32,
     seed: u64,
     closing: AtomicBool,
+    /// The longest message that a client may send.
+    longest: usize,
 }
 
 /// What others reach a session by.
 struct Desk {
     secret: u32,
     cancelled: AtomicBool,
+    /// The session is to make room for another.
+    evicted: AtomicBool,
+    standing: Mutex<Standing>,
     waker: Waker,
 }
 
+/// How a session looks from outside.
+#[derive(Clone, Copy)]
+struct Standing {
+    phase: Phase,
+    since: Instant,
+    /// When the session has to look at its clock.
+    due: Option<Instant>,
+}
+
+/// In the order in which sessions make room for others.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// It has not said what it wants, or is being closed.
+    Silent,
+    /// It waits for its next query.
+    Idle,
+    /// A query runs.
+    Busy,
+}
+
 impl Front {
     /// A front before the gateway; `seed` makes the sessions' keys hard to guess.
-    pub fn new(gateway: Arc<Gateway>, seed: u64) -> Self {
+    pub fn new(gateway: Arc<Gateway>, seed: u64, longest: usize) -> Self {
         Front {
             gateway,
             sessions: Mutex::default(),
             next: AtomicU32::new(1),
             seed,
             closing: AtomicBool::new(false),
+            longest,
         }
     }
 
@@ -63,24 +100,62 @@
     /// From now on sessions are closed as soon as nothing is open in them.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Relaxed);
-        self.wake_all();
+        self.wake(|_| true);
     }
 
-    /// Wakes all sessions, so that they look at their clocks.
-    pub fn wake_all(&self) {
-        let desks: Vec<Arc<Desk>> = lock(&self.sessions).values().cloned().collect();
-        for desk in desks {
+    /// Wakes the sessions for which it is time to look at their clocks.
+    pub fn look_over(&self) {
+        let now = Instant::now();
+        self.wake(|desk| lock(&desk.standing).due.is_some_and(|due| due <= now));
+    }
+
+    fn wake(&self, which: impl Fn(&Desk) -> bool) {
+        for desk in lock(&self.sessions).values().filter(|desk| which(desk)) {
             desk.waker.wakeup();
         }
     }
 
+    /// Has the session closed that has been silent longest, or else idle longest; false if queries run in all. Guards
+    /// usual clients' descriptors against those who connect and say nothing, or ask once and stay.
+    pub fn make_room(&self) -> bool {
+        let sessions = lock(&self.sessions);
+        let open = sessions.values().filter(|desk| !desk.evicted.load(Ordering::Relaxed));
+        let ranked = open.map(|desk| (*lock(&desk.standing), desk));
+        let idle = ranked.filter(|(standing, _)| standing.phase != Phase::Busy);
+        let Some((_, desk)) = idle.min_by_key(|(standing, _)| (standing.phase, standing.since)) else {
+            return false;
+        };
+        desk.evicted.store(true, Ordering::Relaxed);
+        desk.waker.wakeup();
+        true
+    }
+
+    /// Closes a connection for which there is no room, and says why.
+    pub fn turn_away(&self, socket: &TcpStream) {
+        let mut out = Outbox::default();
+        message::error(out.buffer(), true, "53300", "sorry, too many clients already");
+        let _ = socket.set_nonblocking(true);
+        let _ = out.flush(socket);
+        let _ = socket.shutdown(Shutdown::Write);
+        // Closed with bytes unread it would be reset, and the error lost.
+        let _ = fill(socket, &mut Vec::new());
+    }
+
     /// Takes in a connection; the coroutine that runs it is started here.
     pub fn take_in(self: &Arc<Self>, socket: TcpStream) -> std::io::Result<()> {
         socket.set_nodelay(true)?;
         let stream = CoIo::new(socket).map_err(std::io::Error::from)?;
         let process = self.next.fetch_add(1, Ordering::Relaxed);
         let secret = oorandom::Rand32::new(self.seed ^ (u64::from(process) << 32)).rand_u32();
-        let desk = Arc::new(Desk { secret, cancelled: AtomicBool::new(false), waker: stream.waker() });
+        let began = Instant::now();
+        let standing = Standing { phase: Phase::Silent, since: began, due: Some(began + SAY_WITHIN) };
+        let desk = Arc::new(Desk {
+            secret,
+            cancelled: AtomicBool::new(false),
+            evicted: AtomicBool::new(false),
+            standing: Mutex::new(standing),
+            waker: stream.waker(),
+        });
         lock(&self.sessions).insert(process, desk.clone());
         let front = self.clone();
         let spawned = task::spawn("session", move || {
@@ -92,8 +167,10 @@
                 input: Vec::new(),
                 at: 0,
                 out: Outbox::default(),
-                moved: Instant::now(),
+                began: Some(began),
+                moved: began,
                 read_at: 0.0,
+                encryptions: 0,
                 state: State::Starting,
             };
             session.run();
@@ -125,6 +202,13 @@
     Busy(Running),
     /// Closed once all is written.
     Closing,
+    /// As `Closing`, but the client may still be sending: what it sends is passed over, so that it gets the error.
+    Failing,
+    /// The error is written; closed once the client has closed, or at this time.
+    Leaving {
+        until: Instant,
+        at_last: Instant,
+    },
 }
 
 /// A query that runs.
@@ -145,17 +229,21 @@
     /// Bytes of `input` that are done with.
     at: usize,
     out: Outbox,
-    /// When the session began or its client last took something.
+    /// When the message began that the client has not yet sent in full; the session's first at its start.
+    began: Option<Instant>,
+    /// When the client last took something, or was last not owed anything.
     moved: Instant,
     /// When the last bytes were read, on the module's clock.
     read_at: f64,
+    /// How often encryption was asked for.
+    encryptions: u32,
     state: State,
 }
 
 impl Session<'_> {
     /// Runs until the connection is to be closed.
     fn run(&mut self) {
-        let mut answered = None;
+        let (mut answered, mut rounds) = (None, 0);
         loop {
             let Ok(drained) = self.read() else { return };
             answered = self.take_answer().or(answered);
@@ -163,48 +251,95 @@
                 self.cancelled();
             }
             self.take_messages();
+            self.look_at_clock();
             match self.out.flush(self.stream.socket()) {
-                Ok(moved) if moved || self.out.waiting() == 0 => {
-                    if !matches!(self.state, State::Starting) {
-                        self.moved = Instant::now();
-                    }
-                }
+                Ok(moved) if moved || self.out.waiting() == 0 => self.moved = Instant::now(),
                 Ok(_) => {}
                 Err(_) => return,
             }
             if self.out.waiting() == 0 {
                 answered = None;
-                if matches!(self.state, State::Closing)
-                    || (self.idle() && self.front.closing.load(Ordering::Relaxed))
-                {
+                let leaves =
+                    self.desk.evicted.load(Ordering::Relaxed) && !matches!(self.state, State::Busy(_));
+                let ends = leaves || self.front.closing.load(Ordering::Relaxed) && self.idle();
+                if matches!(self.state, State::Closing) || ends {
                     return;
                 }
+                if matches!(self.state, State::Failing) {
+                    let _ = self.stream.socket().shutdown(Shutdown::Write);
+                    let now = Instant::now();
+                    self.state = State::Leaving { until: now + LINGER, at_last: now + LEAVE_WITHIN };
+                }
             }
-            let patience = if matches!(self.state, State::Starting) { START_WITHIN } else { READ_WITHIN };
-            if self.moved.elapsed() >= patience {
-                return;
-            }
+            let Some(due) = self.stand() else { return };
+            *lock(&self.desk.standing) = due;
             let more = self.out.waiting() == 0 && self.can_take() && self.whole_message();
             // Waits only once the socket had nothing more, or what it has need not be read: it tells of news once.
             if !more && (drained || !self.wants_more()) {
+                rounds = 0;
                 self.stream.wait_io();
+            } else {
+                rounds += 1;
+                if rounds % ROUNDS == 0 {
+                    may::coroutine::sleep(PAUSE);
+                }
             }
         }
     }
 
+    /// Ends what a client has begun to say and does not say in full.
+    fn look_at_clock(&mut self) {
+        let evicted = self.desk.evicted.load(Ordering::Relaxed);
+        let starting = matches!(self.state, State::Starting);
+        if evicted && starting {
+            message::error(self.out.buffer(), true, "53300", "sorry, too many clients already");
+            self.state = State::Failing;
+        }
+        let partial = starting || self.input.len() > self.at && self.can_take() && !self.whole_message();
+        self.began = if partial { self.began.or(Some(Instant::now())) } else { None };
+        if self.can_take() && self.began.is_some_and(|began| began.elapsed() >= SAY_WITHIN) {
+            message::error(
+                self.out.buffer(),
+                true,
+                "57014",
+                "canceling: the client's message did not come in time",
+            );
+            self.state = State::Failing;
+        }
+    }
+
+    /// How the session stands; nothing if it has waited for its client for too long.
+    fn stand(&self) -> Option<Standing> {
+        let (phase, since) = match &self.state {
+            State::Busy(_) => (Phase::Busy, self.moved),
+            State::Leaving { .. } | State::Starting | State::Closing | State::Failing => {
+                (Phase::Silent, self.began.unwrap_or(self.moved))
+            }
+            State::Ready | State::Skipping => (Phase::Idle, self.moved),
+        };
+        let say = self.began.filter(|_| self.can_take()).map(|began| began + SAY_WITHIN);
+        let due = match self.state {
+            State::Leaving { until, at_last } => Some(until.min(at_last)),
+            _ if self.out.waiting() > 0 => Some(self.moved + READ_WITHIN),
+            _ => say,
+        };
+        let over = due.is_some_and(|due| due <= Instant::now()) && say != due;
+        (!over).then_some(Standing { phase, since, due })
+    }
+
     fn idle(&self) -> bool {
         !matches!(self.state, State::Busy(_)) && self.input.len() == self.at
     }
 
     fn can_take(&self) -> bool {
-        !matches!(self.state, State::Busy(_) | State::Closing)
+        !matches!(self.state, State::Busy(_) | State::Closing | State::Failing | State::Leaving { .. })
     }
 
     fn whole_message(&self) -> bool {
         let input = &self.input[self.at..];
         match self.state {
             State::Starting => !matches!(message::start(input), Ok(None)),
-            _ => !matches!(message::next(input), Ok(None)),
+            _ => !matches!(message::next(input, self.front.longest), Ok(None)),
         }
     }
 
@@ -215,12 +350,19 @@
 
     /// Reads what has come, up to a whole message; true if there was nothing more, an error if the client has gone.
     fn read(&mut self) -> Result<bool, ()> {
-        while self.wants_more() {
+        for _ in 0..READS {
+            if !self.wants_more() {
+                break;
+            }
             match fill(self.stream.socket(), &mut self.input) {
                 Ok(Filled::Some) => self.read_at = self.front.gateway.facade.now(),
                 Ok(Filled::Nothing) => return Ok(true),
                 Ok(Filled::Closed) | Err(_) => return Err(()),
             }
+            if let State::Leaving { until, .. } = &mut self.state {
+                *until = Instant::now() + LINGER;
+                self.input.clear();
+            }
             if self.can_take() && self.whole_message() {
                 break;
             }
@@ -239,6 +381,7 @@
                 let text = format!("refused, nothing was done: backoff={:.0}", backoff.max(0.0));
                 message::error(out, false, "53000", &text);
             }
+            Answer::Duplicate => message::error(out, false, "42710", "a request with this 'rid' is open"),
             Answer::Failed => message::error(out, false, "58000", "failed: the statement may have run"),
         }
         message::ready(out);
@@ -259,7 +402,10 @@
 
     /// Deals with the whole messages that have been read, up to the next query.
     fn take_messages(&mut self) {
-        while self.can_take() && self.out.waiting() < READ_AHEAD {
+        for _ in 0..MESSAGES {
+            if !self.can_take() || self.out.waiting() >= READ_AHEAD {
+                break;
+            }
             let input = std::mem::take(&mut self.input);
             let taken = match self.state {
                 State::Starting => self.start(&input[self.at..]),
@@ -271,10 +417,13 @@
                 Ok(taken) => self.at += taken,
                 Err((code, text)) => {
                     message::error(self.out.buffer(), true, code, text);
-                    self.state = State::Closing;
+                    self.state = State::Failing;
                 }
             }
         }
+        if matches!(self.state, State::Failing) {
+            self.at = self.input.len();
+        }
         self.input.drain(..self.at);
         self.at = 0;
         if self.input.is_empty() {
@@ -289,7 +438,14 @@
                 message::welcome(self.out.buffer(), self.process, self.desk.secret);
                 self.state = State::Ready;
             }
-            Start::Encryption => self.out.buffer().push(b'N'),
+            // Guards against a client that asks for nothing else: two kinds can be asked for, each once.
+            Start::Encryption if self.encryptions >= 2 => {
+                return Err(("08P01", "encryption was asked for more than once"));
+            }
+            Start::Encryption => {
+                self.encryptions += 1;
+                self.out.buffer().push(b'N');
+            }
             Start::Cancel { process, secret } => {
                 self.front.cancel(process, secret);
                 self.state = State::Closing;
@@ -299,7 +455,9 @@
     }
 
     fn message(&mut self, input: &[u8]) -> Result<usize, message::Malformed> {
-        let Some(Message { kind, body, length }) = message::next(input)? else { return Ok(0) };
+        let Some(Message { kind, body, length }) = message::next(input, self.front.longest)? else {
+            return Ok(0);
+        };
         match (kind, &self.state) {
             (b'X', _) => self.state = State::Closing,
             (b'S', _) => {
@@ -307,7 +465,7 @@
                 self.state = State::Ready;
             }
             (_, State::Skipping) => {}
-            (b'Q', _) => self.query(body),
+            (b'Q', _) => self.query(body)?,
             (b'P' | b'B' | b'D' | b'E' | b'C' | b'H', _) => {
                 message::error(self.out.buffer(), false, "0A000", "only simple queries are supported");
                 self.state = State::Skipping;
@@ -316,25 +474,30 @@
                 message::error(self.out.buffer(), false, "0A000", "function calls are not supported");
                 message::ready(self.out.buffer());
             }
-            // Left over from a copy that is not to be.
-            (b'd' | b'c' | b'f', _) => {}
+            // Data of a copy too: none is ever begun, and it might never end.
             _ => return Err(("08P01", "invalid frontend message type")),
         }
         Ok(length)
     }
 
-    fn query(&mut self, body: &[u8]) {
-        let text = body.strip_suffix(&[0]).unwrap_or(body);
+    fn query(&mut self, body: &[u8]) -> Result<(), message::Malformed> {
+        let text = body.strip_suffix(&[0]).filter(|text| !text.contains(&0));
+        let text = text.ok_or(("08P01", "invalid string in message"))?;
+        if self.front.closing.load(Ordering::Relaxed) {
+            return Err(("57P03", "the proxy is shutting down"));
+        }
         let out = self.out.buffer();
         if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
             message::empty(out);
-            return message::ready(out);
+            message::ready(out);
+            return Ok(());
         }
         let query = match self.front.read_query(text, self.read_at) {
             Ok(query) => query,
             Err((code, text)) => {
                 message::error(out, false, code, &text);
-                return message::ready(out);
+                message::ready(out);
+                return Ok(());
             }
         };
         let word = query.statement.iter().take_while(|byte| byte.is_ascii_alphabetic()).take(16);
@@ -355,6 +518,7 @@
                 message::ready(out);
             }
         }
+        Ok(())
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -40,6 +40,8 @@
     Refused(f64),
     /// Failed; nothing is promised.
     Failed,
+    /// Not taken: its id is that of a request which is open.
+    Duplicate,
 }
 
 /// What the databases' side tells of an attempt.
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -51,6 +51,7 @@
             Step::Send(sending) => request.attempt(sending),
             Step::Refuse(backoff) => return request.answer(Answer::Refused(backoff)),
             Step::Fail => return request.answer(Answer::Failed),
+            Step::Duplicate => return request.answer(Answer::Duplicate),
             Step::Over => return,
         }
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -22,10 +22,19 @@
 const STILL_COMING: Duration = Duration::from_millis(850);
 /// Between looks at what is still open.
 const LOOK: Duration = Duration::from_millis(10);
+/// Connections taken in before their sessions get a turn.
+const ACCEPTS: usize = 16;
+/// That turn.
+const TURN: Duration = Duration::from_millis(1);
 /// Time for the last bytes to leave.
 const LAST_BYTES: Duration = Duration::from_millis(50);
 /// How often sessions look at their clocks.
-const SESSION_SWEEP: Duration = Duration::from_secs(1);
+const SESSION_SWEEP: Duration = Duration::from_millis(250);
+/// The longest message that a client may send, in bytes: what all sessions together may hold is this part of the memory.
+const LEAST_MESSAGE: usize = 64 * 1024;
+const MEMORY_PART: usize = 8;
+/// All that is taken is answered this long after SIGTERM: SIGKILL may come 3.7 s after it.
+const LAST_ANSWERS: f64 = 3_400.0;
 
 /// A proxy that serves.
 pub struct Server {
@@ -45,6 +54,7 @@
         let sessions = config.limits.descriptors * 2 / 5;
         let budget = config.limits.descriptors - sessions - RESERVE.min(config.limits.descriptors / 4);
         // A tenth of the clients' connections stays free for those who come next.
+        let longest = (config.limits.memory_bytes / MEMORY_PART / sessions).max(LEAST_MESSAGE);
         let mut settings = config.settings;
         settings.max_open = settings.max_open.min(config.limits.descriptors / 3 * 9 / 10).max(1);
         let facade = Facade::new(settings, config.seed).map_err(|error| error.to_string())?;
@@ -57,7 +67,7 @@
         });
         let roster = Arc::new(Roster::new(gateway.clone(), config.coordinator));
         roster.know(config.known_index, &config.known);
-        let front = Arc::new(Front::new(gateway.clone(), config.seed));
+        let front = Arc::new(Front::new(gateway.clone(), config.seed, longest));
         let listener = CoIo::new(listener).map_err(|error| io::Error::from(error).to_string())?;
         let server = Server {
             gateway: gateway.clone(),
@@ -77,7 +87,7 @@
         let sweep = move || {
             loop {
                 may::coroutine::sleep(SESSION_SWEEP);
-                watched.wake_all();
+                watched.look_over();
             }
         };
         start("session clocks", Box::new(sweep))?;
@@ -95,6 +105,7 @@
 
     /// Goes on accepting while clients may still come, finishes what is open, and returns. Blocks a thread.
     pub fn drain(&self) {
+        self.gateway.facade.close_by(self.gateway.facade.now() + LAST_ANSWERS);
         std::thread::sleep(STILL_COMING);
         self.stop.store(true, Ordering::Relaxed);
         self.listener.wakeup();
@@ -116,15 +127,21 @@
 }
 
 fn accept(listener: &CoIo<TcpListener>, front: &Arc<Front>, stop: &AtomicBool, most: usize) {
+    let mut accepted = 0;
     while !stop.load(Ordering::Relaxed) {
         match listener.inner().accept() {
-            Ok((socket, _)) if front.sessions() < most => {
-                if let Err(error) = front.take_in(socket) {
-                    tracing::warn!("a connection could not be taken in: {error}");
+            Ok((socket, _)) => {
+                // A session that makes room has gone before the next few are taken in, which the reserve bears.
+                if front.sessions() >= most && !front.make_room() {
+                    front.turn_away(&socket);
+                } else if let Err(error) = front.take_in(socket) {
+                    tracing::debug!("a connection could not be taken in: {error}");
+                }
+                accepted += 1;
+                if accepted % ACCEPTS == 0 {
+                    may::coroutine::sleep(TURN);
                 }
             }
-            // Closed unread: the client sees that the proxy is full.
-            Ok(_) => tracing::warn!("too many connections"),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                 listener.wait_io();
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,8 +69,10 @@
 const MIX_STEP: f64 = 0.02;
 /// Part of a cold engine's budget used in a window: its speed is not told, and two windows may adjoin.
 const COLD_PART: f64 = 0.3;
-/// Strikes at which an engine is left alone: a full answer, two failed connects, three resets or errors.
+/// Strikes at which an engine is left alone: a full answer, two failed connects, three resets or errors that
+/// lie so many ms apart: requests that nobody can answer and those on one connection fail at one moment.
 const STRIKES_OUT: u32 = 3;
+const STRIKE_EVERY: Millis = 100.0;
 /// ms that an engine is left alone at first, doubled with each further one up to the most.
 const BAR_FIRST: Millis = 250.0;
 const BAR_MOST: Millis = 4_000.0;
@@ -176,6 +178,7 @@
     others: Mean,
     /// Failures since the last answer, by weight.
     strikes: u32,
+    struck_at: Millis,
     barred_until: Millis,
     held: Held,
 }
@@ -277,6 +280,7 @@
                 self.look_at(&id, out);
             }
             Event::ClientGone(id) => self.finish(&id, out),
+            Event::ClosingBy(at) => self.requests.values_mut().for_each(|it| it.new.due = it.new.due.min(at)),
             Event::Probed(engine, _, load) => self.reported(engine, load),
             Event::Timer(_) => self.tick(out),
         }
@@ -603,18 +607,19 @@
             // that still answers; failures in a row, with no answer between, are. This guards against dead,
             // failing and full engines; it may hurt where a fault strikes single connections in a row.
             Outcome::ConnectFailed | Outcome::Reset | Outcome::Full | Outcome::Errored => {
-                engine.strikes += match end.outcome {
+                let strikes = match end.outcome {
                     Outcome::Full => STRIKES_OUT,
                     Outcome::ConnectFailed => 2,
-                    _ => 1,
+                    _ => u32::from(now - engine.struck_at >= STRIKE_EVERY),
                 };
-                if engine.strikes >= STRIKES_OUT {
-                    let (id, outcome) = (end.engine.0, end.outcome);
-                    out.push(Action::Log(format!("engine {id}: left alone, {outcome:?}")));
+                engine.strikes += strikes;
+                engine.struck_at = if strikes > 0 { now } else { engine.struck_at };
+                if strikes > 0 && engine.strikes >= STRIKES_OUT {
+                    out.push(Action::Log(format!("engine {}: left alone, {:?}", end.engine.0, end.outcome)));
                     let doubled = f64::from((engine.strikes / STRIKES_OUT).min(8) - 1).exp2();
                     let wait = (BAR_FIRST * doubled).min(BAR_MOST);
                     engine.barred_until = now + wait;
-                    if matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset) {
+                    if end.outcome == Outcome::ConnectFailed {
                         // A process that comes back after this is cold, whenever the list says so.
                         engine.cold_since = Some(now + wait);
                     }
@@ -919,7 +924,6 @@
     // Health of engines.
 
     fn engines_listed(&mut self, entries: Vec<EngineEntry>, whole: bool) {
-        let first = self.engines.is_empty();
         if whole {
             for engine in self.engines.values_mut() {
                 engine.entry.readiness = Readiness::Gone;
@@ -927,7 +931,7 @@
         }
         for entry in entries {
             // An engine that turns up later has just started, whatever the list says of it.
-            let fresh = (!first && !whole).then_some(self.now);
+            let fresh = (!whole).then_some(self.now);
             let new = |cold_since| Engine {
                 entry,
                 cold_since,
@@ -935,6 +939,7 @@
                 slowness: Mean::default(),
                 others: Mean::default(),
                 strikes: 0,
+                struck_at: f64::NEG_INFINITY,
                 barred_until: 0.0,
                 held: Held::default(),
             };
@@ -944,6 +949,7 @@
             }
             engine.entry = entry;
         }
+        self.engines.retain(|_, engine| engine.entry.readiness != Readiness::Gone);
     }
 
     fn reported(&mut self, engine: EngineId, load: Option<LoadReport>) {
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -149,6 +149,14 @@
     }
 }
 
+/// All that a connection still brings up to its orderly close.
+pub fn rest(mut socket: &TcpStream) -> String {
+    let mut rest = Vec::new();
+    socket.set_read_timeout(Some(PATIENCE)).unwrap();
+    socket.read_to_end(&mut rest).expect("the connection is closed and not reset");
+    String::from_utf8_lossy(&rest).into_owned()
+}
+
 /// A query of a class with the fields that it needs.
 pub fn query(class: &str, id: u64, budget: u32) -> String {
     format!("/* method={class},rid={id:016x},budget={budget},est=20 */ SELECT a FROM sales_17.orders")
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -320,6 +320,7 @@
     }
     for number in 100..102 {
         let sent = sends(&desk.arrive(request(number, 0, desk.now + 60_000.0)));
+        desk.now += 100.0;
         desk.end(number, 0, sent[0], Outcome::Reset, 1.0);
     }
     assert!(sends(&desk.arrive(request(200, 0, desk.now + 60_000.0))).is_empty());
@@ -467,12 +468,28 @@
     for number in 0..3 {
         let sent = sends(&desk.arrive(request(number, 0, desk.now + 60_000.0)));
         assert_eq!(sent.len(), 1);
+        desk.now += 100.0;
         desk.end(number, 0, sent[0], Outcome::Errored, 1.0);
     }
     assert!(sends(&desk.arrive(request(9, 0, desk.now + 60_000.0))).is_empty());
     assert_eq!(sends(&desk.wait(400.0)).len(), 1, "after a while one query tries it again");
 }
 
+/// Guards usual requests against those that no engine can answer, and against one connection that ends under many.
+#[test]
+fn failures_of_one_moment_leave_an_engine_in_use() {
+    for outcome in [Outcome::Errored, Outcome::Reset] {
+        let mut desk = Desk::new(settings(vec![class(Effect::Unsafe, 1.0)]), 1);
+        let sent: Vec<EngineId> =
+            (0..8).flat_map(|number| sends(&desk.arrive(request(number, 0, 60_000.0)))).collect();
+        assert_eq!(sent.len(), 8);
+        for (number, engine) in (0..).zip(sent) {
+            desk.end(number, 0, engine, outcome, 1.0);
+        }
+        assert_eq!(sends(&desk.arrive(request(9, 0, desk.now + 60_000.0))).len(), 1, "{outcome:?}");
+    }
+}
+
 /// Guards against a full house: the clients of whatever comes next could not even connect.
 #[test]
 fn of_more_than_may_be_open_the_least_worthy_that_wait_are_refused() {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -4,8 +4,9 @@
 mod proxy;
 
 use std::io::Write as _;
+use std::net::TcpStream;
 
-use proxy::{Client, Coordinator, Database, Proxy, event, query};
+use proxy::{Client, Coordinator, Database, Proxy, event, query, rest};
 
 #[test]
 fn a_result_of_two_pages_is_served_whole_and_the_statement_goes_on_unchanged() {
@@ -71,9 +72,12 @@
     assert_eq!(client.ask(" ; "), "I");
     let mut garbage = Client::open(proxy.address);
     garbage.0.write_all(b"Q\x7f\xff\xff\xff").unwrap();
-    let mut rest = String::new();
-    std::io::Read::read_to_string(&mut garbage.0, &mut rest).unwrap();
-    assert!(rest.contains("54000"), "{rest:?}");
+    let told = rest(&garbage.0);
+    assert!(told.contains("54000"), "{told:?}");
+    for bad in ["budget=1e9", "budget=50,est=1e12", "budget=50,est=-1", "budget=50,space=NaN", "budget=inf"] {
+        let text = format!("/* method=lookup,rid={:016x},{bad} */ SELECT a FROM sales_17.orders", 1);
+        assert!(client.ask(&text).starts_with("E 42601"), "{bad}");
+    }
 }
 
 #[test]
@@ -175,3 +179,159 @@
         client.answer();
     }
 }
+
+/// Guards the descriptors against those who connect and say nothing, or half of something.
+#[test]
+fn what_a_client_does_not_finish_is_ended_with_an_error() {
+    let proxy = Proxy::start(&[&Database::new()]);
+    let silent = TcpStream::connect(proxy.address).unwrap();
+    let mut half = proxy.client();
+    let idle = &mut proxy.client();
+    half.0.write_all(b"Q\0\0\0\x20/* met").unwrap();
+    assert!(rest(&silent).contains("57014"));
+    assert!(rest(&half.0).contains("57014"));
+    assert_eq!(idle.ask(""), "I", "an idle session is left alone");
+}
+
+/// Guards the error: a connection closed with bytes unread is reset, and what was sent last is lost.
+#[test]
+fn a_message_too_long_gets_its_error_while_the_client_still_sends() {
+    let proxy = Proxy::start(&[&Database::new()]);
+    let mut client = proxy.client();
+    client.0.write_all(b"Q\x03\x93\x87\0").unwrap();
+    for _ in 0..600 {
+        client.0.write_all(&[b'x'; 10_000]).expect("the proxy goes on reading");
+    }
+    assert!(rest(&client.0).contains("54000"));
+}
+
+/// Guards the request that is open: the answer would go to whoever names its id.
+#[test]
+fn the_id_of_an_open_request_is_refused_to_others() {
+    let database = Database::new();
+    let proxy = Proxy::start(&[&database]);
+    let (mut first, mut second) = (proxy.client(), proxy.client());
+    first.send(&query("lookup", 1, 15_000));
+    let mut lines = database.accept();
+    let serve = lines.command();
+    assert!(second.ask(&query("load", 1, 15_000)).starts_with("E 42710"));
+    lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
+    assert_eq!(first.answer(), "TDC");
+}
+
+/// Guards usual clients against those who ask once and keep their connection for good.
+#[test]
+fn the_longest_idle_session_makes_room_and_a_busy_one_does_not() {
+    let database = Database::new();
+    let proxy = Proxy::start(&[&database]);
+    let mut busy = proxy.client();
+    busy.send(&query("lookup", 1, 15_000));
+    let mut lines = database.accept();
+    let serve = lines.command();
+    // Two fifths of 256 descriptors are for sessions.
+    let idle: Vec<Client> = (0..101).map(|_| proxy.client()).collect();
+    assert_eq!(proxy.client().ask(""), "I");
+    assert_eq!(rest(&idle[0].0), "");
+    lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
+    assert_eq!(busy.answer(), "TDC");
+}
+
+/// Guards what is taken against SIGKILL, which comes long before some deadlines.
+#[test]
+fn sigterm_answers_what_would_outlast_it() {
+    let database = Database::new();
+    let mut proxy = Proxy::start(&[&database]);
+    let (mut safe, mut load) = (proxy.client(), proxy.client());
+    safe.send(&query("lookup", 1, 60_000));
+    load.send(&query("load", 2, 60_000));
+    let _open = [database.accept().command(), database.accept().command()];
+    assert!(proxy.stop().success());
+    assert!(safe.answer().starts_with("E 53000"));
+    assert!(load.answer().starts_with("E 58000"));
+}
+
+/// Guards both clients: what belongs to no request is dropped, and the connection goes on.
+#[test]
+fn an_unknown_id_ahead_and_a_second_copy_are_passed_over() {
+    let database = Database::new();
+    let proxy = Proxy::start(&[&database]);
+    let mut client = proxy.client();
+    client.send(&query("lookup", 1, 15_000));
+    let mut lines = database.accept();
+    let serve = lines.command();
+    lines.say("00000000deadbeef", "HIT", "total=1", "x\ty\tz\n");
+    lines.say(&serve[1], "HIT", "total=2", "a\tb\tc\n");
+    lines.say(&serve[1], "HIT", "total=2", "a\tb\tc\n");
+    for _ in 0..2 {
+        lines.say(&serve[1], "PART", "index=1", "d\te\tf\n");
+    }
+    assert_eq!(client.answer(), "TDDC");
+    client.send(&query("lookup", 2, 15_000));
+    assert_eq!(lines.command()[..2], ["read", &serve[1]]);
+    assert_eq!(lines.command()[1], format!("{:016x}", 2));
+}
+
+/// Guards the client against noise, and the unsafe class against being told that it never ran.
+#[test]
+fn a_spoilt_answer_fails_a_load_and_leaves_other_requests_alone() {
+    let spoilt = [
+        ("HIT", "total=1", "a\tb\n"),
+        ("HIT", "total=1", "a\tb\tc"),
+        ("HIT", "total=x", "a\tb\tc\n"),
+        ("SHED", "-", "-"),
+    ];
+    let database = Database::new();
+    let proxy = Proxy::start(&[&database]);
+    let (mut client, mut other) = (proxy.client(), proxy.client());
+    other.send(&query("load", 99, 15_000));
+    let mut well = database.accept();
+    let serve = well.command();
+    for (id, (word, fields, body)) in (1..).zip(spoilt) {
+        client.send(&query("load", id, 15_000));
+        let mut lines = database.accept();
+        let id = lines.command()[1].clone();
+        if word == "SHED" {
+            lines.say(&id, "HIT", "total=2", "a\tb\tc\n");
+        }
+        lines.say(&id, word, fields, body);
+        assert!(client.answer().starts_with("E 58000"), "{word} {fields} {body}");
+    }
+    well.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
+    assert_eq!(other.answer(), "TDC");
+}
+
+/// Guards against a length that is too long: whatever comes is taken for the answer's own bytes.
+#[test]
+fn an_answer_that_never_becomes_whole_ends_its_connection() {
+    let database = Database::new();
+    let proxy = Proxy::start(&[&database]);
+    let mut client = proxy.client();
+    client.send(&query("load", 1, 60_000));
+    let mut lines = database.accept();
+    let serve = lines.command();
+    let socket = lines.0.get_mut();
+    write!(socket, "{} HIT total=1 5000\r\n", serve[1]).unwrap();
+    while socket.write_all(b"x").is_ok() {
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    assert!(client.answer().starts_with("E 58000"));
+}
+
+/// Guards against meeting an old connection, and old news of health, at an address or id that is used again.
+#[test]
+fn a_database_that_comes_back_elsewhere_is_met_on_new_connections() {
+    let (first, second) = (Database::new(), Database::new());
+    let coordinator = Coordinator::new();
+    let proxy = Proxy::follow(&[&first], Some(&coordinator));
+    let (mut stream, _) = coordinator.accept();
+    let mut client = proxy.client();
+    client.send(&query("lookup", 1, 15_000));
+    let mut lines = first.accept();
+    let serve = lines.command();
+    lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
+    assert_eq!(client.answer(), "TDC");
+    stream.write_all(event(2, &[first.member("s-0", "DELETED")]).as_bytes()).unwrap();
+    assert_eq!(rest(lines.0.get_ref()), "", "the old connection is closed");
+    stream.write_all(event(3, &[second.member("s-0", "SERVING")]).as_bytes()).unwrap();
+    reached(&proxy, &second);
+}
