Leave alone engines blamed for errors, and send one load at a time on the same tables

Seen in the logs of each attempt's end. At fault: rules.rs learn, where any answer cleared all strikes; rules.rs place, which never looked at the tables of what runs. Now an error counts against an engine once another engine has served that request (so requests that nobody can answer blame none), and above 15 in 100 and twice the fleet's share it is left alone for some seconds. A load goes only to engines that hold no other load of this proxy on its tables. Buffers of idle connections are freed. Checked: the two new tests in tests/module.rs fail without it.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -111,6 +111,9 @@
 /// Milliseconds between two times that the module looks at all that waits, while much is open.
 const SETTLE_EVERY: Millis = 1.0;
 
+/// Milliseconds above which the ticker waits for whole multiples of this.
+const LONG_WAIT: u64 = 20;
+
 /// A request as the facade keeps it.
 struct Entry<Back> {
     post: Sender<Letter<Back>>,
@@ -319,8 +322,9 @@
             let now = micros(self.now());
             let next = lock(&self.inner).next();
             lock(&self.ticker).1 = next;
-            // Whole milliseconds: may keeps a list for every length of time that was ever waited for.
+            // Few different lengths: may keeps a list for every length of time that was ever waited for.
             let wait = next.saturating_sub(now).div_ceil(1_000).clamp(1, 1_000);
+            let wait = if wait > LONG_WAIT { wait / LONG_WAIT * LONG_WAIT } else { wait };
             if next > now {
                 may::coroutine::park_timeout(Duration::from_millis(wait));
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,7 +13,7 @@
 pub struct RequestId(pub Arc<str>);
 
 /// An engine, the same number at every dispatcher.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EngineId(pub u32);
 
 /// A class of requests: its position in [`Settings::classes`].
@@ -25,15 +25,15 @@
 pub struct TenantId(pub usize);
 
 /// A zone of the deployment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub usize);
 
 /// A kind of machine: its position in [`Settings::machines`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct MachineId(pub usize);
 
 /// A group of engines that share which keyed requests they have seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u64);
 
 /// A group of tables that a query reads.
@@ -250,18 +250,19 @@
 impl std::error::Error for SettingsError {}
 
 /// The state of an engine on the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Readiness {
     /// It takes work.
     Up,
     /// It finishes what it has.
     Draining,
     /// It is gone.
+    #[default]
     Gone,
 }
 
 /// One line of the list of engines.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EngineEntry {
     /// The engine.
     pub engine: EngineId,
--- a/src/net/back/lines.rs
+++ b/src/net/back/lines.rs
@@ -446,6 +446,9 @@
                 return Ending::Silent;
             }
             drop(state);
+            if input.is_empty() {
+                input = Vec::new();
+            }
             stream.wait_io();
         }
     }
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -427,7 +427,7 @@
         self.input.drain(..self.at);
         self.at = 0;
         if self.input.is_empty() {
-            self.input.shrink_to(READ_AHEAD);
+            self.input = Vec::new();
         }
     }
 
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -89,7 +89,10 @@
                 Letter::Deadline(attempt) if attempt == sending.attempt => break give_up(Ending::Deadline),
                 Letter::Priority(priority) => handle.weigh(priority),
                 Letter::Back(attempt, news) if attempt == sending.attempt => match news {
-                    News::Note(note) => facade.noted(id, attempt, note),
+                    News::Note(note) => {
+                        tracing::debug!(id = &*id.0, engine = sending.engine.0, ?note, "noted");
+                        facade.noted(id, attempt, note);
+                    }
                     News::Ended(end) => break end,
                 },
                 Letter::Refuse(backoff) => self.answer(Answer::Refused(backoff)),
@@ -105,6 +108,7 @@
         let AttemptEnding { ending, cost, load, pages } = end;
         tracing::debug!(
             id = &*id.0,
+            class = self.query.new.class.0,
             engine = sending.engine.0,
             attempt = sending.attempt.0,
             ?ending,
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -107,8 +107,8 @@
         if self.at == self.bytes.len() {
             self.earlier += self.at as u64;
             self.at = 0;
-            self.bytes.clear();
-            self.bytes.shrink_to(CHUNK);
+            // Guards the memory: hundreds of connections are idle most of the time.
+            self.bytes = Vec::new();
         }
         Ok(moved)
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,8 +11,6 @@
 use crate::interface::*;
 use crate::stats::{Mean, product_limit, remember};
 
-// Constants: unit, reason.
-
 /// ms that a timer or an outcome may come late; half the usual slack for answers.
 const TICK: Millis = 10.0;
 /// ms between tries to place what waits, where no event brings one: engines free up unseen.
@@ -73,6 +71,8 @@
 /// lie so many ms apart: requests that nobody can answer and those on one connection fail at one moment.
 const STRIKES_OUT: u32 = 3;
 const STRIKE_EVERY: Millis = 100.0;
+/// Blame from which an engine is left alone, if it is twice the fleet's: what fails fast draws ever more.
+const BLAME_OUT: f64 = 0.15;
 /// ms that an engine is left alone at first, doubled with each further one up to the most.
 const BAR_FIRST: Millis = 250.0;
 const BAR_MOST: Millis = 4_000.0;
@@ -161,12 +161,9 @@
     fn set_memory(&mut self, log: f64) {
         (self.memory, self.memory_factor) = (log, log.exp());
     }
-
-    fn unknown() -> Self {
-        Class { bias_factor: 1.0, stretch_factor: 1.0, memory_factor: 1.0, ..Class::default() }
-    }
 }
 
+#[derive(Default)]
 struct Engine {
     entry: EngineEntry,
     cold_since: Option<Millis>,
@@ -176,6 +173,8 @@
     slowness: Mean,
     /// Queries held for other dispatchers, as reported.
     others: Mean,
+    /// The share of its answers that were errors to requests which another engine then served.
+    blame: Mean,
     /// Failures since the last answer, by weight.
     strikes: u32,
     struck_at: Millis,
@@ -224,8 +223,9 @@
     usual: Held,
     /// The engines that reported last.
     heard: VecDeque<EngineId>,
-    /// Other dispatchers' queries for each core, on the fleet's average.
+    /// Other dispatchers' queries for each core, and the blame of an engine, on the fleet's average.
     crowd: f64,
+    blame: f64,
     /// When the earliest timer is due.
     wakes_at: Millis,
     /// Answers without service since the last log line.
@@ -239,10 +239,12 @@
     /// A dispatcher that knows nothing but its settings; `seed` feeds its own random numbers.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
+        let class =
+            |_| Class { bias_factor: 1.0, stretch_factor: 1.0, memory_factor: 1.0, ..Class::default() };
         Ok(Dispatcher {
             random: oorandom::Rand64::new(seed.into()),
             now: 0.0,
-            classes: settings.classes.iter().map(|_| Class::unknown()).collect(),
+            classes: settings.classes.iter().map(class).collect(),
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             lines: BTreeMap::new(),
@@ -253,6 +255,7 @@
             usual: Held::default(),
             heard: VecDeque::new(),
             crowd: 0.0,
+            blame: 0.0,
             wakes_at: f64::INFINITY,
             unserved: 0,
             unsettled: false,
@@ -262,8 +265,7 @@
     }
 
     /// Takes one event and adds what is to be done to `out`. While much is open, what waits is not looked at
-    /// for each event: [`Dispatcher::settle`] must follow soon. Guards against a cost of all that is open
-    /// times all that happens: with hundreds open it took more than a core.
+    /// for each event, which took more than a core: [`Dispatcher::settle`] must follow soon.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
         match event {
@@ -309,10 +311,9 @@
 
     // The mechanism: tau, the cut, the relaunch.
 
-    /// Sets the class's tau to the value that minimises the load of a query: the area under the survival
-    /// curve of first runs up to tau plus the mean rerun times the survival at tau (the paper's Theorem 4),
-    /// or to none where never cutting is as good (Theorem 2). Attempts that were cut, timed out or failed,
-    /// and those that still run, are right-censored: they count as at risk up to where they were last seen.
+    /// Sets the class's tau to the value that minimises a query's load: the area under first runs' survival
+    /// up to tau plus the mean rerun times survival at tau (the paper's Theorem 4), or to none where never
+    /// cutting is as good (Theorem 2). Attempts that did not end well, or still run, are right-censored.
     fn choose_tau(&mut self, class: usize, out: &mut Vec<Action>) {
         let mut ends = [0u32; BINS];
         let mut seen = [0u32; BINS];
@@ -376,9 +377,8 @@
         if !elsewhere || request.new.due - self.now < rerun || !self.further_attempt(request, true) {
             return None;
         }
-        // A note weighs the time left against a rerun for this attempt itself, as Theorem 2 does for the
-        // class: what will end sooner goes on, what will clearly end later need not wait for all of tau.
-        // It tells a low estimate from a bad plan; a wrong note costs one rerun.
+        // A note weighs the time left against a rerun, as Theorem 2 does for the class: what ends sooner goes
+        // on, what clearly ends later need not wait for tau. A wrong note costs one rerun.
         let due = match attempt.left() {
             Some(left) if ratio >= tau => left > rerun,
             Some(left) => ratio >= tau * EARLY_TAU && left > EARLY_LEFT * rerun,
@@ -518,8 +518,7 @@
     }
 
     /// Books a request of the tenant; the part of its traffic within its share, as far as this dispatcher's
-    /// part of both tells more than chance. Guards others against a tenant that floods all dispatchers; where
-    /// a front sends one tenant's traffic to few of them, it may hold back what is within its share.
+    /// part of both tells more than chance. Guards others against a tenant that floods all dispatchers.
     fn within_share(&mut self, tenant: TenantId) -> f64 {
         let told = self.settings.tenants.get(tenant.0).filter(|told| told.quota_per_s > 0.0);
         let (Some(told), Some(seen)) = (told, self.tenants.get_mut(tenant.0)) else { return 1.0 };
@@ -580,9 +579,14 @@
                 remember(&mut class.runs, (bin_of(ratio), end.outcome == Outcome::Served), WINDOW);
             }
         }
+        let failed = |at: &&Attempt| end.outcome == Outcome::Served && at.ended == Some(Outcome::Errored);
+        for erred in request.attempts.iter().filter(failed) {
+            self.engines.entry(erred.engine).and_modify(|it| it.blame.add(1.0, now, ENGINE_HORIZON));
+        }
         let Some(engine) = self.engines.get_mut(&end.engine) else { return };
         match end.outcome {
             Outcome::Served => {
+                engine.blame.add(0.0, now, ENGINE_HORIZON);
                 engine.strikes = 0;
                 engine.barred_until = now;
                 let mut true_nominal = nominal;
@@ -603,9 +607,8 @@
                 class.stretch.add(stretch, now, CLASS_HORIZON);
                 class.stretch_factor = class.stretch.value.exp();
             }
-            // A connection that breaks now and then is the network's doing and no reason to leave an engine
-            // that still answers; failures in a row, with no answer between, are. This guards against dead,
-            // failing and full engines; it may hurt where a fault strikes single connections in a row.
+            // A connection that breaks now and then is the network's doing; failures in a row, with no answer
+            // between, are the engine's. This guards against dead, failing and full engines.
             Outcome::ConnectFailed | Outcome::Reset | Outcome::Full | Outcome::Errored => {
                 let strikes = match end.outcome {
                     Outcome::Full => STRIKES_OUT,
@@ -774,8 +777,7 @@
         line.queue.front() == Some(&request.new.id) && (self.now >= line.rests_until)
     }
 
-    /// Books on each engine what this dispatcher has out there, and what reports tell of the whole fleet. All
-    /// engines count alike there: those that hardly move answer least, and would hardly show otherwise.
+    /// Books on each engine what this dispatcher has out there, and what reports tell of the whole fleet.
     fn book_held(&mut self) {
         for engine in self.engines.values_mut() {
             engine.held = Held::default();
@@ -789,6 +791,8 @@
                 self.engines.entry(attempt.engine).and_modify(|engine| engine.held.add(held, 1.0));
             }
         }
+        let blame = self.engines.values().map(|it| it.blame.shrunk(self.now, ENGINE_HORIZON)).sum::<f64>();
+        self.blame = blame / self.engines.len().max(1) as f64;
         let (mut held, mut cores) = (0.0, 0.0);
         for engine in self.engines.values().filter(|engine| self.healthy(engine)) {
             let (size, news) = (self.machine(engine).cores, self.news(engine));
@@ -825,6 +829,11 @@
         let request = self.requests.get(id)?;
         let needs = self.needs(&request.new);
         let room = THREADS_PER_CORE * (1.0 + URGENT_ROOM * f64::from(priority));
+        // Of loads on the same tables an engine runs one at a time: the others would stand still there.
+        let holds = |new: &NewRequest| self.settings.classes[new.class.0].holds_tables;
+        let same = |other: &&Request| holds(&other.new) && other.new.tables == request.new.tables;
+        let loads = self.requests.values().filter(|other| holds(&request.new) && same(other));
+        let taken: Vec<EngineId> = loads.flat_map(Request::live).map(|(_, at)| at.engine).collect();
         // Other dispatchers' queries are taken to be like one's own.
         let alike = if self.usual.queries > 0.0 { self.usual } else { needs };
         let mut best: Option<(f64, EngineId)> = None;
@@ -834,7 +843,7 @@
             // After a failure one query at a time tries whether the engine is well again.
             let trial = engine.strikes < STRIKES_OUT || here.queries == 0.0;
             let tried = request.attempts.iter().any(|attempt| attempt.engine == engine_id);
-            let open = trial && !tried && self.healthy(engine);
+            let open = trial && !tried && self.healthy(engine) && !taken.contains(&engine_id);
             if !open || !self.permitted(request, engine) || !self.cold_room(engine, request.new.class) {
                 continue;
             }
@@ -861,9 +870,8 @@
         best.map(|(_, engine)| engine)
     }
 
-    /// The engines compared for one placement, with the random part of their scores: all, where this
-    /// dispatcher knows them well; else some heard of last and some at random. Where each of many sees little
-    /// of the fleet, the least of all by old reports would draw them all at once.
+    /// The engines compared for one placement, with the random part of their scores: all, where dispatchers
+    /// are few; else some heard of last and some at random, as the least by old reports would draw all.
     fn candidates(&mut self) -> Vec<(EngineId, f64)> {
         let mut chosen: Vec<EngineId> = self.engines.keys().copied().collect();
         if self.settings.dispatchers > WIDE && chosen.len() > HEARD + AT_RANDOM {
@@ -932,17 +940,7 @@
         for entry in entries {
             // An engine that turns up later has just started, whatever the list says of it.
             let fresh = (!whole).then_some(self.now);
-            let new = |cold_since| Engine {
-                entry,
-                cold_since,
-                lot: (0.0, 1.0, 0.0),
-                slowness: Mean::default(),
-                others: Mean::default(),
-                strikes: 0,
-                struck_at: f64::NEG_INFINITY,
-                barred_until: 0.0,
-                held: Held::default(),
-            };
+            let new = |cold_since| Engine { entry, cold_since, lot: (0.0, 1.0, 0.0), ..Engine::default() };
             let engine = self.engines.entry(entry.engine).or_insert_with(|| new(entry.started.or(fresh)));
             if entry.started.is_some() && entry.started != engine.entry.started {
                 *engine = new(entry.started);
@@ -967,7 +965,8 @@
     }
 
     fn healthy(&self, engine: &Engine) -> bool {
-        engine.entry.readiness == Readiness::Up && self.now >= engine.barred_until
+        let blamed = engine.blame.shrunk(self.now, ENGINE_HORIZON) > BLAME_OUT.max(2.0 * self.blame);
+        engine.entry.readiness == Readiness::Up && self.now >= engine.barred_until && !blamed
     }
 
     /// How much slower than usual an engine is.
@@ -987,8 +986,7 @@
     }
 
     /// Whether a cold engine can take one more request of the class within this dispatcher's part of what all
-    /// may send it in a window. Of many dispatchers each has a part smaller than one request: a lot lets one
-    /// through as often as makes up the part, so that a release or a mass restart starves no successor.
+    /// may send it in a window. Where that is less than one request, a lot lets one through as often as fits.
     fn cold_room(&self, engine: &Engine, class: ClassId) -> bool {
         let (warmth, cold) = (self.warmth(engine), &self.settings.cold);
         if warmth >= 1.0 || cold.multiple <= 0.0 {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -475,6 +475,48 @@
     assert_eq!(sends(&desk.wait(400.0)).len(), 1, "after a while one query tries it again");
 }
 
+/// Guards against an engine that fails much of its work fast, and so looks idle: answers between do not clear it.
+#[test]
+fn an_engine_whose_errors_others_put_right_is_left_alone() {
+    let mut desk = Desk::new(settings(vec![class(Effect::Safe, 1.0)]), 4);
+    let (bad, mut seen) = (EngineId(0), 0);
+    for number in 0..200 {
+        let sent = sends(&desk.arrive(request(number, 0, desk.now + 60_000.0)))[0];
+        desk.now += 5.0;
+        seen += usize::from(sent == bad);
+        if sent == bad && seen % 2 == 1 {
+            let again = sends(&desk.end(number, 0, sent, Outcome::Errored, 5.0));
+            desk.end(number, 1, again[0], Outcome::Served, 5.0);
+        } else {
+            desk.end(number, 0, sent, Outcome::Served, 5.0);
+        }
+    }
+    assert!(seen < 10, "{seen} of 200 requests went to the engine that fails");
+    desk.wait(10_000.0);
+    let later = (300..340).filter(|number| {
+        let sent = sends(&desk.arrive(request(*number, 0, desk.now + 60_000.0)))[0];
+        desk.now += 5.0;
+        desk.end(*number, 0, sent, Outcome::Served, 5.0);
+        sent == bad
+    });
+    assert!(later.count() > 3, "after a while it is tried, and used once it is well");
+}
+
+/// Guards loads against a convoy: on one engine the second stands still, holding its memory, until the first ends.
+#[test]
+fn loads_on_the_same_tables_go_to_different_engines_or_wait() {
+    let mut load = class(Effect::Unsafe, 1.0);
+    load.holds_tables = true;
+    let mut desk = Desk::new(settings(vec![load]), 2);
+    let sent: Vec<EngineId> =
+        (0..3).flat_map(|number| sends(&desk.arrive(request(number, 0, 60_000.0)))).collect();
+    assert_eq!(sent.len(), 2, "the third waits");
+    assert_ne!(sent[0], sent[1]);
+    let other = NewRequest { tables: TablesId(77), ..request(9, 0, 60_000.0) };
+    assert_eq!(sends(&desk.arrive(other)).len(), 1, "other tables are free");
+    assert_eq!(sends(&desk.end(0, 0, sent[0], Outcome::Served, 100.0)), [sent[0]]);
+}
+
 /// Guards usual requests against those that no engine can answer, and against one connection that ends under many.
 #[test]
 fn failures_of_one_moment_leave_an_engine_in_use() {
