--- a/src/net/back/lines.rs
+++ b/src/net/back/lines.rs
@@ -197,7 +197,9 @@
             let state = lock(&connection.state);
             (state.phase != Phase::Closed && state.close.is_none()).then_some(state.calls.len())
         };
-        let least = pool.connections.iter().filter_map(|c| Some((carried(c)?, c))).min_by_key(|(n, _)| *n);
+        let open = pool.connections.iter().filter_map(|c| Some((carried(c)?, c)));
+        let idle = open.clone().find(|(calls, _)| *calls == 0);
+        let least = idle.or_else(|| open.min_by_key(|(calls, _)| *calls));
         // One request on each, while descriptors last. Guards the others against an answer that is spoilt: it ends
         // the connection for all that is open on it.
         let full = pool.connections.len() >= most || held >= self.budget;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -832,7 +832,7 @@
         // Of loads on the same tables an engine runs one at a time: the others would stand still there.
         let holds = |new: &NewRequest| self.settings.classes[new.class.0].holds_tables;
         let same = |other: &&Request| holds(&other.new) && other.new.tables == request.new.tables;
-        let loads = self.requests.values().filter(|other| holds(&request.new) && same(other));
+        let loads = holds(&request.new).then(|| self.requests.values().filter(same)).into_iter().flatten();
         let taken: Vec<EngineId> = loads.flat_map(Request::live).map(|(_, at)| at.engine).collect();
         // Other dispatchers' queries are taken to be like one's own.
         let alike = if self.usual.queries > 0.0 { self.usual } else { needs };
