--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -271,8 +271,8 @@
                     self.state = State::Leaving { until: now + LINGER, at_last: now + LEAVE_WITHIN };
                 }
             }
-            let Some(due) = self.stand() else { return };
-            *lock(&self.desk.standing) = due;
+            let Some(standing) = self.stand() else { return };
+            *lock(&self.desk.standing) = standing;
             let more = self.out.waiting() == 0 && self.can_take() && self.whole_message();
             // Waits only once the socket had nothing more, or what it has need not be read: it tells of news once.
             if !more && (drained || !self.wants_more()) {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -30,9 +30,9 @@
 const LAST_BYTES: Duration = Duration::from_millis(50);
 /// How often sessions look at their clocks.
 const SESSION_SWEEP: Duration = Duration::from_millis(250);
-/// The longest message that a client may send, in bytes: what all sessions together may hold is this part of the memory.
-const LEAST_MESSAGE: usize = 64 * 1024;
+/// The part of the memory that the messages of all sessions may take; each may be so many bytes long at the least.
 const MEMORY_PART: usize = 8;
+const LEAST_MESSAGE: usize = 64 * 1024;
 /// All that is taken is answered this long after SIGTERM: SIGKILL may come 3.7 s after it.
 const LAST_ANSWERS: f64 = 3_400.0;
 
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -190,6 +190,11 @@
         Coordinator(TcpListener::bind("127.0.0.1:0").unwrap())
     }
 
+    /// Answers the next call with an error.
+    pub fn fail(&self) {
+        accept(&self.0).write_all(b"HTTP/1.1 503 Service Unavailable\r\n\r\n").unwrap();
+    }
+
     /// The next stream that the proxy asks for, and the number it asks to go on from.
     pub fn accept(&self) -> (TcpStream, u64) {
         let (mut reader, mut last) = (BufReader::new(accept(&self.0)), 0);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -111,15 +111,18 @@
     let mut proxy = Proxy::start(&[&database]);
     let mut client = proxy.client();
     client.send(&query("lookup", 1, 15_000));
+    client.send(&query("lookup", 2, 15_000));
     let mut lines = database.accept();
     let serve = lines.command();
     let answer = std::thread::spawn(move || {
         std::thread::sleep(std::time::Duration::from_millis(1_500));
         lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
-        client.answer()
+        (client.answer(), rest(&client.0))
     });
     assert!(proxy.stop().success());
-    assert_eq!(answer.join().unwrap(), "TDC");
+    let (answer, rest) = answer.join().unwrap();
+    assert_eq!(answer, "TDC");
+    assert!(rest.contains("57P03"), "what comes behind the window is refused: {rest:?}");
 }
 
 /// Guards against ending on SIGHUP, waiting for the old coordinator's silence and applying an event twice.
@@ -158,6 +161,7 @@
     let (mut stream, _) = coordinator.accept();
     stream.write_all(&told.as_bytes()[..told.len() - 1]).unwrap();
     drop(stream);
+    coordinator.fail();
     let (mut stream, last) = coordinator.accept();
     assert_eq!(last, 1);
     stream.write_all(told.as_bytes()).unwrap();
@@ -300,6 +304,19 @@
     assert_eq!(other.answer(), "TDC");
 }
 
+/// Guards against a machine that has vanished: its connections stay open and say nothing.
+#[test]
+fn a_connection_found_silent_is_given_up() {
+    let database = Database::new();
+    let proxy = Proxy::start(&[&database]);
+    let mut client = proxy.client();
+    client.send(&query("load", 1, 60_000));
+    let mut lines = database.accept();
+    lines.command();
+    assert_eq!(lines.command(), ["health", "check"]);
+    assert!(client.answer().starts_with("E 58000"));
+}
+
 /// Guards against a length that is too long: whatever comes is taken for the answer's own bytes.
 #[test]
 fn an_answer_that_never_becomes_whole_ends_its_connection() {
