Add the operators' door, drain, retuning and taking over a listening socket

At fault: server.rs start and drain (own listener only), config.rs decode (takes a file that has lost keys), main.rs serve (no settings taken), nothing that listens for operators. A class whose rules change gets another place in the module, so that open requests keep theirs; a place is used again once its last request has ended.

--- a/src/config.rs
+++ b/src/config.rs
@@ -21,6 +21,8 @@
     pub idle_ms: u64,
     /// Requests that may be open together.
     pub max_open: usize,
+    /// The longest time in which a class gives up, in milliseconds.
+    pub longest_deadline_ms: f64,
 }
 
 /// The names that the protocol uses, in the order of the settings.
@@ -45,6 +47,8 @@
     pub listen: SocketAddr,
     /// The seed of the module's random numbers.
     pub seed: u64,
+    /// Where operators call, if they may.
+    pub management: Option<SocketAddr>,
     /// The coordinator's address, if there is one.
     pub coordinator: Option<SocketAddr>,
     /// The number of the last event in `known`.
@@ -62,12 +66,19 @@
 impl Config {
     /// Reads the file; the error is one plain line.
     pub fn load(path: &Path) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let json: Value =
-            serde_json::from_str(&text).map_err(|error| format!("{}: not JSON: {error}", path.display()))?;
+        let json = read(path)?;
         Self::decode(&json).map_err(|error| format!("{}: {error}", path.display()))
     }
 
+    /// Reads the file anew. It is turned down whole if it lacks a key that the file of the start had.
+    pub fn reload(path: &Path, shape: &Value) -> Result<Self, String> {
+        let json = read(path)?;
+        match lacks(shape, &json) {
+            Some(key) => Err(format!("{}: '{key}' is missing", path.display())),
+            None => Self::decode(&json).map_err(|error| format!("{}: {error}", path.display())),
+        }
+    }
+
     fn decode(json: &Value) -> Result<Self, String> {
         let told = &json["settings"];
         if !told.is_object() {
@@ -99,7 +110,24 @@
                 .map(|number| number as u64)
                 .ok_or_else(|| format!("'{key}' is {value}, not a number of 0 or more")),
         };
+        let above_0 = |key: &str, value: &Value| match value.as_f64() {
+            Some(number) if number > 0.0 => Ok(number),
+            _ => Err(format!("'{key}' is {value}, not a number above 0")),
+        };
+        let mut longest: Option<f64> = None;
+        for class in told["services"].as_array().into_iter().flatten() {
+            if class["name"].as_str().is_none_or(str::is_empty) {
+                return Err("a class of 'services' has no name".into());
+            }
+            if let Some(deadline) = class.get("deadline_ms") {
+                longest = Some(above_0("deadline_ms", deadline)?.max(longest.unwrap_or(0.0)));
+            }
+        }
+        if let Some(attempts) = told["limits"].get("max_attempts") {
+            above_0("max_attempts", attempts)?;
+        }
         let limits = Limits {
+            longest_deadline_ms: longest.unwrap_or(f64::INFINITY),
             descriptors: whole(&json["limits"], "sockets", 1024)? as usize,
             memory_bytes: whole(&json["limits"], "memory_mb", 192)?.saturating_mul(1024 * 1024) as usize,
             multiplex: (whole(&told["limits"], "multiplex", 100)? as usize).max(1),
@@ -116,6 +144,7 @@
             name: json["name"].as_str().unwrap_or("gaugestep").to_owned(),
             listen: address("listen")?.ok_or("'listen' is missing")?,
             seed,
+            management: address("management")?,
             coordinator: address("coordinator")?,
             known_index,
             known: known["updates"].as_array().cloned().unwrap_or_default(),
@@ -131,6 +160,34 @@
     }
 }
 
+/// The file as JSON; the error is one plain line.
+pub fn read(path: &Path) -> Result<Value, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    serde_json::from_str(&text).map_err(|error| format!("{}: not JSON: {error}", path.display()))
+}
+
+/// A key of `shape` that `json` lacks. In a list, each entry needs what all entries of the shape's list have.
+fn lacks(shape: &Value, json: &Value) -> Option<String> {
+    match (shape, json) {
+        (Value::Object(shape), Value::Object(json)) => {
+            shape.iter().find_map(|(key, inside)| match json.get(key) {
+                None | Some(Value::Null) if !inside.is_null() => Some(key.clone()),
+                // Events differ in what they hold.
+                Some(told) if key != "known" => lacks(inside, told),
+                _ => None,
+            })
+        }
+        (Value::Object(shape), _) => shape.keys().next().cloned(),
+        (Value::Array(shape), Value::Array(json)) => {
+            let first = shape.first()?.as_object()?;
+            let common = first.keys().filter(|key| shape.iter().all(|entry| !entry[key.as_str()].is_null()));
+            let lacking = |key: &&String| json.iter().any(|entry| entry[key.as_str()].is_null());
+            common.into_iter().find(lacking).cloned()
+        }
+        _ => None,
+    }
+}
+
 /// The names in a list of names, or of objects that have one.
 fn named(json: &Value, key: &str) -> Vec<String> {
     let name = |entry: &Value| entry.as_str().or(entry["name"].as_str()).unwrap_or_default().to_owned();
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -122,8 +122,9 @@
     over: bool,
     /// The attempt that is out, where and since when.
     out: Option<(AttemptNo, EngineId, Millis)>,
-    /// Attempts sent so far.
+    /// Attempts sent so far, and how many may be.
     sent: usize,
+    most: usize,
     priority: u8,
 }
 
@@ -145,6 +146,8 @@
     closing_by: Millis,
     /// When the module last settled, and whether an alarm is set for it to do so again.
     settled: (Millis, bool),
+    max_attempts: usize,
+    priorities: bool,
 }
 
 impl<Back> Inner<Back> {
@@ -167,8 +170,6 @@
     started: Instant,
     /// Unix time of the clock's zero, in milliseconds.
     epoch: Millis,
-    max_attempts: usize,
-    priorities: bool,
     /// The coroutine that calls [`Facade::tick`], and when it will next, in microseconds.
     ticker: Mutex<(Option<may::coroutine::Coroutine>, u64)>,
 }
@@ -188,14 +189,14 @@
             logs: Vec::new(),
             closing_by: f64::INFINITY,
             settled: (0.0, false),
+            max_attempts,
+            priorities,
         };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         Ok(Facade {
             inner: Mutex::new(inner),
             started: Instant::now(),
             epoch: unix.as_secs_f64() * 1e3,
-            max_attempts,
-            priorities,
             ticker: Mutex::new((None, u64::MAX)),
         })
     }
@@ -219,8 +220,15 @@
             return Step::Duplicate;
         }
         new.due = new.due.min(inner.closing_by);
-        let entry =
-            Entry { post: mailbox.address(), due: new.due, over: false, out: None, sent: 0, priority: 1 };
+        let entry = Entry {
+            post: mailbox.address(),
+            due: new.due,
+            over: false,
+            out: None,
+            sent: 0,
+            most: inner.max_attempts,
+            priority: 1,
+        };
         inner.alarms.insert((micros(new.due), Alarm::Deadline(id.clone())));
         inner.requests.insert(id.clone(), entry);
         self.feed(inner, Some(Event::Arrived(new)));
@@ -277,6 +285,18 @@
         self.feed(lock(&self.inner), Some(event));
     }
 
+    /// How many engines are listed and left alone for now.
+    pub fn avoided(&self) -> usize {
+        lock(&self.inner).dispatcher.avoided(self.now())
+    }
+
+    /// New settings. What is open stays under the rules that it came under.
+    pub fn retune(&self, settings: Settings) {
+        let mut inner = lock(&self.inner);
+        (inner.max_attempts, inner.priorities) = (settings.max_attempts.max(1), settings.priorities);
+        self.feed(inner, Some(Event::Retuned(Box::new(settings))));
+    }
+
     /// The proxy will end: every request, taken or yet to come, is due by then at the latest.
     pub fn close_by(&self, at: Millis) {
         let mut inner = lock(&self.inner);
@@ -405,14 +425,14 @@
             Action::Send { id, engine } => {
                 let entry = inner.requests.get_mut(&id);
                 let sendable = |entry: &Entry<Back>| {
-                    !entry.over && entry.out.is_none() && entry.sent < self.max_attempts && now < entry.due
+                    !entry.over && entry.out.is_none() && entry.sent < entry.most && now < entry.due
                 };
                 let attempt = AttemptNo(entry.as_ref().map_or(0, |entry| entry.sent));
                 match entry {
                     Some(entry) if sendable(entry) => {
                         entry.sent += 1;
                         entry.out = Some((attempt, engine, now));
-                        let priority = self.priorities.then_some(entry.priority);
+                        let priority = inner.priorities.then_some(entry.priority);
                         let _ = entry.post.send(Letter::Send(Sending { engine, attempt, priority }));
                     }
                     entry => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -407,6 +407,8 @@
     ClientGone(RequestId),
     /// The dispatcher will end: its requests are due by then at the latest.
     ClosingBy(Millis),
+    /// New settings. A class keeps its place as long as a request of it is open; other rules come under another place.
+    Retuned(Box<Settings>),
     /// A probe came back.
     Probed(EngineId, Outcome, Option<LoadReport>),
     /// A timer came due.
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,8 +4,12 @@
 mod facade;
 mod net;
 
+use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use clap::{Parser, Subcommand};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -28,6 +32,12 @@
         /// The configuration.
         #[arg(long, env = "EDGE_CONFIG")]
         config: PathBuf,
+        /// Where operators call, in place of the configuration's `management`.
+        #[arg(long, env = "EDGE_MANAGEMENT")]
+        management: Option<SocketAddr>,
+        /// The descriptor of a listening socket that the platform holds, in place of the configuration's `listen`.
+        #[arg(long, env = "EDGE_SOCKET_FD")]
+        socket_fd: Option<RawFd>,
     },
     /// Reads a configuration and says whether it can be used.
     CheckConfig {
@@ -41,7 +51,7 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { config } => serve(&config),
+        Command::Serve { config, management, socket_fd } => serve(&config, management, socket_fd),
         Command::CheckConfig { config } => Config::load(&config).map(|config| {
             println!("{}: can be used; listens on {}", config.name, config.listen);
         }),
@@ -59,11 +69,12 @@
     }
 }
 
-fn serve(path: &Path) -> Result<(), String> {
+fn serve(path: &Path, management: Option<SocketAddr>, socket_fd: Option<RawFd>) -> Result<(), String> {
     // First of all: SIGHUP ends a process that does not take it.
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("cannot take signals: {error}"))?;
     let config = Config::load(path)?;
+    let shape = config::read(path)?;
     // Lines are written by a thread of their own, so that a slow reader of the log stops no coroutine.
     let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .buffered_lines_limit(4096)
@@ -73,16 +84,24 @@
     tracing_subscriber::fmt().with_writer(writer).with_env_filter(filter).with_ansi(false).init();
     net::task::set_up();
     let name = config.name.clone();
-    let server = net::server::Server::start(config)?;
+    let management = management.or(config.management);
+    let server = Arc::new(net::server::Server::start(config, socket_fd)?);
+    if let Some(address) = management {
+        net::ops::open(address, server.clone())?;
+    }
     tracing::info!(name, "serving");
     for signal in signals.forever() {
         if signal == SIGHUP {
-            match Config::load(path) {
+            match Config::reload(path, &shape) {
                 Ok(config) => {
-                    server.reconfigure(&config);
+                    server.reconfigure(config);
+                    server.reloads.0.fetch_add(1, Ordering::Relaxed);
                     tracing::info!("took the new configuration");
                 }
-                Err(error) => tracing::error!("the old configuration stays in force: {error}"),
+                Err(error) => {
+                    tracing::error!("the old configuration stays in force: {error}");
+                    server.reloads.1.fetch_add(1, Ordering::Relaxed);
+                }
             }
             continue;
         }
--- a/src/net/back/lines.rs
+++ b/src/net/back/lines.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::io::Write as _;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,7 @@
 use may::io::WaitIo as _;
 use may::net::TcpStream;
 
-use crate::config::{Limits, Names};
+use crate::config::Limits;
 use crate::facade::{Letter, Sending};
 use crate::net::ending::Ending;
 use crate::net::stream::{Filled, Outbox, Stream, Waker, fill};
@@ -43,10 +44,11 @@
 /// All connections to databases.
 pub struct Lines {
     limits: Limits,
-    names: Names,
     /// Descriptors for connections to databases.
     budget: usize,
     pools: Mutex<HashMap<EngineId, Pool>>,
+    /// Attempts written to databases.
+    forwards: Arc<AtomicU64>,
     /// All that are open, also to databases that are gone.
     connections: Mutex<Vec<Weak<Connection>>>,
 }
@@ -85,6 +87,8 @@
     close: Option<Ending>,
     /// The database is gone: closed once nothing is open on it.
     retired: bool,
+    /// Attempts written, on all connections.
+    forwards: Arc<AtomicU64>,
 }
 
 /// One attempt on a connection.
@@ -112,8 +116,14 @@
 
 impl Lines {
     /// No connections yet; `budget` descriptors may be used.
-    pub fn new(limits: Limits, names: Names, budget: usize) -> Self {
-        Lines { limits, names, budget, pools: Mutex::default(), connections: Mutex::default() }
+    pub fn new(limits: Limits, budget: usize) -> Self {
+        Lines {
+            limits,
+            budget,
+            forwards: Arc::default(),
+            pools: Mutex::default(),
+            connections: Mutex::default(),
+        }
     }
 
     /// A database is listed at this address, or is gone. Unless `Up`, nothing new goes to it from now on: what waits
@@ -139,6 +149,11 @@
         }
     }
 
+    /// Attempts written to databases so far.
+    pub fn forwards(&self) -> u64 {
+        self.forwards.load(Ordering::Relaxed)
+    }
+
     /// Databases that a whole list does not name are gone.
     pub fn only(&self, engines: &[EngineId]) {
         lock(&self.pools).retain(|engine, pool| {
@@ -174,7 +189,7 @@
                     state.calls.insert(id.0.to_string(), call);
                 }
                 if state.phase == Phase::Up {
-                    state.write_unsent(&self.names);
+                    state.write_unsent();
                 }
             }
             drop(state);
@@ -211,7 +226,7 @@
             _ if full => return None,
             _ => {}
         }
-        let connection = Arc::new(Connection::new());
+        let connection = Arc::new(Connection::new(self.forwards.clone()));
         pool.connections.push(connection.clone());
         lock(&self.connections).push(Arc::downgrade(&connection));
         let (lines, address, owned) = (self.clone(), pool.address, connection.clone());
@@ -301,7 +316,7 @@
 
 impl State {
     /// Writes the commands of all that waited for the connection.
-    fn write_unsent(&mut self, names: &Names) {
+    fn write_unsent(&mut self) {
         let now = Instant::now();
         if self.calls.values().all(|call| call.unsent.is_none()) {
             return;
@@ -314,9 +329,9 @@
             let Some((query, priority, due)) = call.unsent.take() else { continue };
             call.begins = self.out.end();
             let budget = due.saturating_duration_since(now).as_millis().max(1);
-            let class = names.classes.get(query.new.class.0).map_or("", String::as_str);
+            self.forwards.fetch_add(1, Ordering::Relaxed);
             let out = self.out.buffer();
-            let _ = write!(out, "serve {id} queue={class},budget={budget}");
+            let _ = write!(out, "serve {id} queue={},budget={budget}", query.class.name);
             if let Some(priority) = priority {
                 let _ = write!(out, ",band={priority}");
             }
@@ -356,7 +371,7 @@
 }
 
 impl Connection {
-    fn new() -> Self {
+    fn new(forwards: Arc<AtomicU64>) -> Self {
         let state = State {
             phase: Phase::Dialing,
             out: Outbox::default(),
@@ -366,6 +381,7 @@
             checked: None,
             close: None,
             retired: false,
+            forwards,
         };
         Connection { state: Mutex::new(state), waker: OnceLock::new() }
     }
@@ -398,7 +414,7 @@
                 let mut state = lock(&self.state);
                 state.phase = Phase::Up;
                 state.heard = Instant::now();
-                state.write_unsent(&lines.names);
+                state.write_unsent();
                 drop(state);
                 self.carry(&stream)
             }
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -52,6 +52,11 @@
         Roster { gateway, known: Mutex::default(), place: Mutex::new(Place { address, open: None }) }
     }
 
+    /// How many databases are listed.
+    pub fn listed(&self) -> usize {
+        lock(&self.known).engines.len()
+    }
+
     /// Takes the events of a configuration; those known already are skipped.
     pub fn know(&self, index: u64, events: &[Value]) {
         for event in events {
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -5,11 +5,11 @@
 
 use std::collections::HashMap;
 use std::net::{Shutdown, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use gaugestep::interface::{ClassId, NewRequest, TablesId, TenantId};
+use gaugestep::interface::{NewRequest, TablesId, TenantId};
 use may::io::{CoIo, WaitIo as _};
 
 use super::message::{self, Start};
@@ -44,11 +44,24 @@
     sessions: Mutex<HashMap<u32, Arc<Desk>>>,
     next: AtomicU32,
     seed: u64,
-    closing: AtomicBool,
+    /// Whether sessions close, and when.
+    leaving: AtomicU8,
     /// The longest message that a client may send.
     longest: usize,
 }
 
+/// How a front takes leave of its sessions.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Leave {
+    /// Not at all.
+    Stay,
+    /// Behind their next answer: a client that reads it sees the close, and sends nothing across it.
+    Answered,
+    /// As soon as nothing is open in them, and nothing new is taken.
+    Idle,
+}
+
 /// What others reach a session by.
 struct Desk {
     secret: u32,
@@ -87,7 +100,7 @@
             sessions: Mutex::default(),
             next: AtomicU32::new(1),
             seed,
-            closing: AtomicBool::new(false),
+            leaving: AtomicU8::new(Leave::Stay as u8),
             longest,
         }
     }
@@ -97,12 +110,16 @@
         lock(&self.sessions).len()
     }
 
-    /// From now on sessions are closed as soon as nothing is open in them.
-    pub fn close(&self) {
-        self.closing.store(true, Ordering::Relaxed);
+    /// From now on sessions are closed, or no longer.
+    pub fn leave(&self, how: Leave) {
+        self.leaving.store(how as u8, Ordering::Relaxed);
         self.wake(|_| true);
     }
 
+    fn leaves(&self, how: Leave) -> bool {
+        self.leaving.load(Ordering::Relaxed) >= how as u8
+    }
+
     /// Wakes the sessions for which it is time to look at their clocks.
     pub fn look_over(&self) {
         let now = Instant::now();
@@ -258,10 +275,12 @@
                 Err(_) => return,
             }
             if self.out.waiting() == 0 {
-                answered = None;
+                let done = answered.take().is_some();
                 let leaves =
                     self.desk.evicted.load(Ordering::Relaxed) && !matches!(self.state, State::Busy(_));
-                let ends = leaves || self.front.closing.load(Ordering::Relaxed) && self.idle();
+                let takes_leave =
+                    self.front.leaves(Leave::Idle) || done && self.front.leaves(Leave::Answered);
+                let ends = leaves || takes_leave && self.idle();
                 if matches!(self.state, State::Closing) || ends {
                     return;
                 }
@@ -328,7 +347,7 @@
     }
 
     fn idle(&self) -> bool {
-        !matches!(self.state, State::Busy(_)) && self.input.len() == self.at
+        !matches!(self.state, State::Busy(_) | State::Starting) && self.input.len() == self.at
     }
 
     fn can_take(&self) -> bool {
@@ -434,6 +453,9 @@
     fn start(&mut self, input: &[u8]) -> Result<usize, message::Malformed> {
         let Some((start, length)) = message::start(input)? else { return Ok(0) };
         match start {
+            Start::Session if self.front.leaves(Leave::Idle) => {
+                return Err(("57P03", "the proxy is shutting down"));
+            }
             Start::Session => {
                 message::welcome(self.out.buffer(), self.process, self.desk.secret);
                 self.state = State::Ready;
@@ -483,7 +505,7 @@
     fn query(&mut self, body: &[u8]) -> Result<(), message::Malformed> {
         let text = body.strip_suffix(&[0]).filter(|text| !text.contains(&0));
         let text = text.ok_or(("08P01", "invalid string in message"))?;
-        if self.front.closing.load(Ordering::Relaxed) {
+        if self.front.leaves(Leave::Idle) {
             return Err(("57P03", "the proxy is shutting down"));
         }
         let out = self.out.buffer();
@@ -525,22 +547,24 @@
 impl Front {
     /// The request that a query's text holds, or code and text of what is wrong with it.
     fn read_query(&self, text: &[u8], read_at: f64) -> Result<Query, (&'static str, String)> {
-        let gateway = &self.gateway;
-        if gateway.open.load(Ordering::Relaxed) >= gateway.max_open {
-            return Err(("53300", "too many requests are open".into()));
-        }
+        let (gateway, book) = (&self.gateway, self.gateway.classes.book());
         let (fields, statement) = fields::split(text).map_err(|text| ("42601", text))?;
-        let place = |names: &[String], name: &str| names.iter().position(|other| other == name);
-        let class = place(&gateway.names.classes, fields.method)
+        let class = book
+            .class(fields.method)
             .ok_or_else(|| ("22023", format!("field 'method' is '{}', which is no class", fields.method)))?;
         let tenant = match fields.acct {
             None => 0,
-            Some(name) => place(&gateway.names.tenants, name)
+            Some(name) => book
+                .tenant(name)
                 .ok_or_else(|| ("22023", format!("field 'acct' is '{name}', which is no tenant")))?,
         };
+        if gateway.open.load(Ordering::Relaxed) >= gateway.max_open {
+            class.declined();
+            return Err(("53300", "too many requests are open".into()));
+        }
         let new = NewRequest {
             id: request_id(fields.rid),
-            class: ClassId(class),
+            class: class.id,
             tenant: TenantId(tenant),
             due: read_at + fields.budget - ANSWER_WAY.min(fields.budget / 2.0),
             estimate: fields.est,
@@ -548,6 +572,6 @@
             tables: TablesId(fields::table_group(statement).unwrap_or(0)),
             key: None,
         };
-        Ok(Query { new, statement: statement.to_vec() })
+        Ok(Query { new, class: class.clone(), statement: statement.to_vec() })
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,19 +4,22 @@
 //! Neither knows the other: [`relay`] stands between them and asks the facade what to do.
 
 pub mod back;
+pub mod classes;
 pub mod coordinator;
 pub mod ending;
 pub mod front;
+pub mod ops;
 pub mod relay;
 pub mod server;
 pub mod stream;
 pub mod task;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use gaugestep::interface::{Cost, LoadReport, NewRequest, Note};
 
 use crate::facade::Letter;
+use classes::Class;
 use ending::Ending;
 
 /// A client's request, whatever front it came through.
@@ -24,6 +27,8 @@
 pub struct Query {
     /// What the module is told.
     pub new: NewRequest,
+    /// Its class.
+    pub class: Arc<Class>,
     /// The statement, byte for byte.
     pub statement: Vec<u8>,
 }
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::back::lines::Lines;
+use super::classes::Classes;
 use super::ending::Ending;
 use super::{Answer, AttemptEnding, Mail, News, Pages, Query};
 use crate::config::Names;
@@ -16,8 +17,10 @@
     pub facade: Facade<News>,
     /// The databases.
     pub lines: Arc<Lines>,
-    /// The names that the protocol uses.
+    /// The names of places and machines.
     pub names: Names,
+    /// The classes and tenants.
+    pub classes: Classes,
     /// Requests that may be open together.
     pub max_open: usize,
     /// Requests that are taken and not yet answered in full.
@@ -67,9 +70,13 @@
 impl<F: FnOnce(Answer)> Request<'_, F> {
     /// Gives the final answer; a second one is impossible.
     fn answer(&mut self, answer: Answer) {
-        if let Some(give) = self.answer.take() {
-            give(answer);
+        let Some(give) = self.answer.take() else { return };
+        match answer {
+            Answer::Served(_) => self.query.class.succeeded(),
+            Answer::Refused(_) => self.query.class.declined(),
+            Answer::Failed | Answer::Duplicate => self.query.class.aborted(),
         }
+        give(answer);
     }
 
     /// Makes one attempt and reports its end.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,18 +2,21 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{FromRawFd as _, OwnedFd, RawFd};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
+use gaugestep::Settings;
 use may::io::{CoIo, WaitIo as _, WaitIoWaker};
 
 use super::back::lines::Lines;
+use super::classes::Classes;
 use super::coordinator::Roster;
-use super::front::pg::Front;
+use super::front::pg::{Front, Leave};
 use super::relay::Gateway;
 use super::task;
-use crate::config::Config;
+use crate::config::{Config, Limits};
 use crate::facade::Facade;
 
 /// Descriptors for everything but clients and databases.
@@ -33,8 +36,17 @@
 /// The part of the memory that the messages of all sessions may take; each may be so many bytes long at the least.
 const MEMORY_PART: usize = 8;
 const LEAST_MESSAGE: usize = 64 * 1024;
-/// All that is taken is answered this long after SIGTERM: SIGKILL may come 3.7 s after it.
-const LAST_ANSWERS: f64 = 3_400.0;
+/// SIGKILL comes 0.7 s after the longest deadline, or after this many milliseconds where that is longer: at a restart,
+/// and where a successor takes over. All that is taken is answered so many milliseconds behind that.
+const RESTART: f64 = 3_000.0;
+const UPGRADE: f64 = 5_000.0;
+const LAST_ANSWERS: f64 = 400.0;
+/// Before SIGKILL at an upgrade: clients have closed their idle connections by then, which they do after 4 s.
+const LAST_SESSIONS: Duration = Duration::from_millis(500);
+/// After an operator's call to drain: the front sees that the proxy is not ready, then sessions close behind their next
+/// answer, then all that are idle.
+const FRONT_SEES: Duration = Duration::from_millis(400);
+const SESSIONS_GO: Duration = Duration::from_millis(1_400);
 
 /// A proxy that serves.
 pub struct Server {
@@ -43,25 +55,44 @@
     roster: Arc<Roster>,
     stop: Arc<AtomicBool>,
     listener: WaitIoWaker,
+    /// The listening socket is the platform's: a successor accepts from it too.
+    shared: bool,
+    /// When all must be answered after SIGTERM, in milliseconds.
+    last_answers: f64,
+    /// Which of an operator's drains this is: odd while it lasts.
+    drains: AtomicU64,
+    stopping: AtomicBool,
+    /// Configurations taken and turned down since the start.
+    pub reloads: (AtomicU64, AtomicU64),
 }
 
 impl Server {
-    /// Binds the address and starts all coroutines.
-    pub fn start(config: Config) -> Result<Self, String> {
-        let listener =
-            bind(config.listen).map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    /// Listens, on a socket that the platform holds if there is one, and starts all coroutines.
+    pub fn start(config: Config, inherited: Option<RawFd>) -> Result<Self, String> {
+        let listener = match inherited {
+            Some(descriptor) => inherit(descriptor),
+            None => bind(config.listen),
+        };
+        let listener = listener.map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
         // Clients hold a third of the descriptors at most; a few connections more only call queries off.
         let sessions = config.limits.descriptors * 2 / 5;
-        let budget = config.limits.descriptors - sessions - RESERVE.min(config.limits.descriptors / 4);
-        // A tenth of the clients' connections stays free for those who come next.
+        let reserve = RESERVE.min(config.limits.descriptors / 4);
+        // While a successor takes over, the two hold the descriptors of one; the clients' are theirs together.
+        let budget = match inherited {
+            Some(_) => (config.limits.descriptors - sessions).saturating_sub(2 * reserve) / 2,
+            None => config.limits.descriptors - sessions - reserve,
+        };
         let longest = (config.limits.memory_bytes / MEMORY_PART / sessions).max(LEAST_MESSAGE);
-        let mut settings = config.settings;
-        settings.max_open = settings.max_open.min(config.limits.descriptors / 3 * 9 / 10).max(1);
+        let settings = bounded(config.settings, &config.limits);
+        let told = settings.clone();
         let facade = Facade::new(settings, config.seed).map_err(|error| error.to_string())?;
+        let classes = Classes::default();
+        classes.take(&config.names, told, |_| {});
         let gateway = Arc::new(Gateway {
             facade,
-            lines: Arc::new(Lines::new(config.limits, config.names.clone(), budget)),
+            lines: Arc::new(Lines::new(config.limits, budget)),
             names: config.names,
+            classes,
             open: AtomicUsize::new(0),
             max_open: config.limits.max_open,
         });
@@ -75,6 +106,15 @@
             roster: roster.clone(),
             stop: Arc::new(AtomicBool::new(false)),
             listener: listener.waker(),
+            shared: inherited.is_some(),
+            last_answers: config.limits.longest_deadline_ms.min(if inherited.is_some() {
+                UPGRADE
+            } else {
+                RESTART
+            }) + LAST_ANSWERS,
+            drains: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            reloads: Default::default(),
         };
         let start = |name, task: Box<dyn FnOnce() + Send>| {
             task::spawn(name, task).map_err(|error| format!("cannot start a coroutine: {error}"))
@@ -96,25 +136,122 @@
         Ok(server)
     }
 
-    /// Takes a new configuration: where the coordinator is and what it has told. All else is fixed at the start, and
-    /// sessions and attempts go on.
-    pub fn reconfigure(&self, config: &Config) {
+    /// Takes a new configuration: the settings, where the coordinator is and what it has told. All else is fixed at
+    /// the start; sessions and attempts go on, these under the rules that they came under.
+    pub fn reconfigure(&self, config: Config) {
+        let settings = bounded(config.settings, &config.limits);
+        let retune = |settings| self.gateway.facade.retune(settings);
+        self.gateway.classes.take(&config.names, settings, retune);
         self.roster.know(config.known_index, &config.known);
         self.roster.move_to(config.coordinator);
     }
 
-    /// Goes on accepting while clients may still come, finishes what is open, and returns. Blocks a thread.
+    /// Whether new clients may come.
+    pub fn ready(&self) -> bool {
+        !self.draining() && !self.stopping.load(Ordering::Relaxed)
+    }
+
+    fn draining(&self) -> bool {
+        self.drains.load(Ordering::Relaxed) % 2 == 1
+    }
+
+    /// What operators are told.
+    pub fn figures(&self) -> serde_json::Value {
+        let (applied, rejected) = &self.reloads;
+        serde_json::json!({
+            "results": self.gateway.classes.counted(),
+            "forwards": self.gateway.lines.forwards(),
+            "outstanding": self.gateway.open.load(Ordering::Relaxed),
+            "discovered": self.roster.listed(),
+            "ejected": self.gateway.facade.avoided(),
+            "sighup_applied": applied.load(Ordering::Relaxed),
+            "sighup_rejected": rejected.load(Ordering::Relaxed),
+        })
+    }
+
+    /// An operator drains the proxy: it is not ready any more, and a little later closes its sessions, each once
+    /// nothing is open in it. It goes on running.
+    pub fn drain_start(self: &Arc<Self>) {
+        let before = self.drains.load(Ordering::Relaxed);
+        if before % 2 == 1 {
+            return;
+        }
+        // Calls are served by one thread: nothing comes between these two.
+        self.drains.store(before + 1, Ordering::Relaxed);
+        tracing::info!("draining as told by an operator");
+        let server = self.clone();
+        let spawned = task::spawn("drain", move || {
+            for (wait, leave) in [(FRONT_SEES, Leave::Answered), (SESSIONS_GO, Leave::Idle)] {
+                may::coroutine::sleep(wait);
+                if server.drains.load(Ordering::Relaxed) != before + 1
+                    || server.stopping.load(Ordering::Relaxed)
+                {
+                    return;
+                }
+                server.front.leave(leave);
+            }
+        });
+        if spawned.is_err() {
+            self.front.leave(Leave::Idle);
+        }
+    }
+
+    /// The operator's drain is over.
+    pub fn drain_stop(&self) {
+        if self.draining() && !self.stopping.load(Ordering::Relaxed) {
+            tracing::info!("the drain is over as told by an operator");
+            self.drains.fetch_add(1, Ordering::Relaxed);
+            self.front.leave(Leave::Stay);
+        }
+    }
+
+    /// Finishes what is open, and returns; until then goes on accepting while clients may still come, or leaves
+    /// those to the successor that has the same listening socket. Blocks a thread.
     pub fn drain(&self) {
-        self.gateway.facade.close_by(self.gateway.facade.now() + LAST_ANSWERS);
-        std::thread::sleep(STILL_COMING);
-        self.stop.store(true, Ordering::Relaxed);
-        self.listener.wakeup();
-        self.front.close();
+        self.stopping.store(true, Ordering::Relaxed);
+        let began = Instant::now();
+        self.gateway.facade.close_by(self.gateway.facade.now() + self.last_answers);
+        if self.shared {
+            self.stop_accepting();
+            self.front.leave(Leave::Answered);
+            let last =
+                Duration::from_secs_f64((self.last_answers + 300.0) / 1e3).saturating_sub(LAST_SESSIONS);
+            while self.front.sessions() > 0 && began.elapsed() < last {
+                std::thread::sleep(LOOK);
+            }
+        } else {
+            std::thread::sleep(STILL_COMING);
+            self.stop_accepting();
+        }
+        self.front.leave(Leave::Idle);
         while self.gateway.open.load(Ordering::Relaxed) > 0 {
             std::thread::sleep(LOOK);
         }
         std::thread::sleep(LAST_BYTES);
     }
+
+    fn stop_accepting(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+        self.listener.wakeup();
+    }
+}
+
+/// The settings with what may be open bounded: a tenth of the clients' connections stays free for those who come next.
+fn bounded(mut settings: Settings, limits: &Limits) -> Settings {
+    settings.max_open = settings.max_open.min(limits.descriptors / 3 * 9 / 10).max(1);
+    settings
+}
+
+/// Takes over the listening socket that the platform holds.
+fn inherit(descriptor: RawFd) -> io::Result<TcpListener> {
+    // SAFETY: the platform passes this descriptor to the process for its own use, and it is taken over once, at the
+    // start. One that is not open fails in the calls below.
+    #[allow(unsafe_code)]
+    let owned = unsafe { OwnedFd::from_raw_fd(descriptor) };
+    let listener = TcpListener::from(owned);
+    listener.local_addr()?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
 }
 
 /// The address can be bound again at once after a restart, but not by two proxies together.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
-use crate::stats::{Mean, product_limit, remember};
+use crate::stats::{BINS, Held, Log, LogMean, Mean, bin_of, product_limit, remember};
 
 /// ms that a timer or an outcome may come late; half the usual slack for answers.
 const TICK: Millis = 10.0;
@@ -31,10 +31,6 @@
 /// A request is given up when it needs this many times the time that its client still waits: usual runs, and
 /// what notes tell of this one, are off by less.
 const HOPELESS: f64 = 2.0;
-/// Bins of the histogram and the ratio between their edges: 0.02 to about 700 times the estimate.
-const BINS: usize = 96;
-const BIN_RATIO: f64 = 1.115;
-const BIN_FIRST: f64 = 0.02;
 /// Reruns that the class's mean counts for: one bad rerun among the first must not end all cuts.
 const PRIOR_RERUNS: f64 = 10.0;
 /// ms over which a class's pace, its rare reruns and an engine's slowness are averaged: steady against quick.
@@ -112,6 +108,8 @@
     within: f64,
     never_cut: bool,
     finished: bool,
+    /// Attempts that it may have at most, by the settings that it came under.
+    most: usize,
     attempts: Vec<Attempt>,
 }
 
@@ -145,24 +143,15 @@
     tau: Option<f64>,
     /// Mean rerun, in the histogram's unit.
     rerun: f64,
-    /// Mean log of true over estimated work, and its exponential as `alone` needs it.
-    bias: Mean,
-    bias_factor: f64,
-    /// Mean log of run time over true work per thread, and its exponential.
-    stretch: Mean,
-    stretch_factor: f64,
-    /// Log of needed over estimated memory, and its exponential.
-    memory: f64,
-    memory_factor: f64,
+    /// True over estimated work.
+    bias: LogMean,
+    /// Run time over true work per thread.
+    stretch: LogMean,
+    /// Needed over estimated memory.
+    memory: Log,
     work: Mean,
 }
 
-impl Class {
-    fn set_memory(&mut self, log: f64) {
-        (self.memory, self.memory_factor) = (log, log.exp());
-    }
-}
-
 #[derive(Default)]
 struct Engine {
     entry: EngineEntry,
@@ -182,22 +171,6 @@
     held: Held,
 }
 
-/// What this dispatcher has out on one engine.
-#[derive(Clone, Copy, Default)]
-struct Held {
-    queries: f64,
-    threads: f64,
-    memory: f64,
-}
-
-impl Held {
-    fn add(&mut self, other: Held, times: f64) {
-        self.queries += other.queries * times;
-        self.threads += other.threads * times;
-        self.memory += other.memory * times;
-    }
-}
-
 /// Requests of one key, in turn.
 #[derive(Default)]
 struct KeyLine {
@@ -239,12 +212,10 @@
     /// A dispatcher that knows nothing but its settings; `seed` feeds its own random numbers.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let class =
-            |_| Class { bias_factor: 1.0, stretch_factor: 1.0, memory_factor: 1.0, ..Class::default() };
         Ok(Dispatcher {
             random: oorandom::Rand64::new(seed.into()),
             now: 0.0,
-            classes: settings.classes.iter().map(class).collect(),
+            classes: settings.classes.iter().map(|_| Class::default()).collect(),
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             lines: BTreeMap::new(),
@@ -283,6 +254,7 @@
             }
             Event::ClientGone(id) => self.finish(&id, out),
             Event::ClosingBy(at) => self.requests.values_mut().for_each(|it| it.new.due = it.new.due.min(at)),
+            Event::Retuned(settings) => self.retuned(*settings),
             Event::Probed(engine, _, load) => self.reported(engine, load),
             Event::Timer(_) => self.tick(out),
         }
@@ -336,7 +308,7 @@
                 ends[bin] += u32::from(left > 0.0);
             }
         }
-        let (curve, mean) = product_limit(&ends, &seen, |bin| BIN_FIRST * BIN_RATIO.powi(bin as i32 + 1));
+        let (curve, mean) = product_limit(&ends, &seen);
         let this = &mut self.classes[class];
         let (reruns, known) = (this.reruns.value, this.reruns.weight);
         this.rerun = (mean * PRIOR_RERUNS + reruns * known) / (PRIOR_RERUNS + known);
@@ -475,7 +447,7 @@
             Effect::Safe | Effect::Keyed(..) => true,
             Effect::Unsafe => !request.may_have_run(),
         };
-        tried < self.settings.max_attempts.max(1) && alone && repeatable && self.budget_left()
+        tried < request.most && alone && repeatable && self.budget_left()
     }
 
     /// Whether the budget has room for one further attempt in the window that ends now.
@@ -510,13 +482,26 @@
         self.classes[new.class.0].work.add(work, self.now, CLASS_HORIZON);
         let within = self.within_share(new.tenant);
         let never_cut = self.random.rand_float() < UNCUT_SHARE;
-        let request =
-            Request { arrived: self.now, within, never_cut, finished: false, attempts: Vec::new(), new };
+        let (arrived, most, attempts) = (self.now, self.settings.max_attempts.max(1), Vec::new());
+        let request = Request { arrived, within, never_cut, finished: false, most, attempts, new };
         let density = self.rank(&request);
         self.density.add(density.max(1e-9).ln(), self.now, CLASS_HORIZON);
         self.requests.insert(request.new.id.clone(), request);
     }
 
+    /// Takes new settings: what is known of a class goes with its rules.
+    fn retuned(&mut self, settings: Settings) {
+        let (old, new) = (&self.settings.classes, &settings.classes);
+        for (class, _) in
+            self.classes.iter_mut().zip(old.iter().zip(new)).filter(|(_, (old, new))| old != new)
+        {
+            *class = Class::default();
+        }
+        self.classes.resize_with(new.len(), Class::default);
+        self.tenants.resize(settings.tenants.len(), Mean::default());
+        self.settings = settings;
+    }
+
     /// Books a request of the tenant; the part of its traffic within its share, as far as this dispatcher's
     /// part of both tells more than chance. Guards others against a tenant that floods all dispatchers.
     fn within_share(&mut self, tenant: TenantId) -> f64 {
@@ -593,19 +578,19 @@
                 if let Some(cost) = end.cost.filter(|cost| cost.work > 0.0) {
                     true_nominal = cost.work / self.settings.classes[class_id].threads;
                     class.bias.add((true_nominal / nominal).ln(), now, CLASS_HORIZON);
-                    class.bias_factor = class.bias.value.exp();
                     if need > 0.0 && cost.memory_mb > 0.0 {
-                        class.set_memory(class.memory + ((cost.memory_mb / need).ln() - class.memory) / 20.0);
+                        class
+                            .memory
+                            .set(class.memory.log + ((cost.memory_mb / need).ln() - class.memory.log) / 20.0);
                     }
                 } else {
-                    class.set_memory((class.memory - 0.001).max(-0.2));
+                    class.memory.set((class.memory.log - 0.001).max(-0.2));
                 }
                 let stretch = (end.elapsed.max(0.1) / true_nominal).ln();
-                if class.stretch.weight > 0.0 {
-                    engine.slowness.add(stretch - class.stretch.value, now, ENGINE_HORIZON);
+                if class.stretch.mean.weight > 0.0 {
+                    engine.slowness.add(stretch - class.stretch.mean.value, now, ENGINE_HORIZON);
                 }
                 class.stretch.add(stretch, now, CLASS_HORIZON);
-                class.stretch_factor = class.stretch.value.exp();
             }
             // A connection that breaks now and then is the network's doing; failures in a row, with no answer
             // between, are the engine's. This guards against dead, failing and full engines.
@@ -638,7 +623,7 @@
         let Some(attempt) = request.attempts.get_mut(attempt.0) else { return };
         match note {
             Note::Done(share) => attempt.done = Some((share.clamp(0.0, 1.0), self.now)),
-            Note::Spills(_) => class.set_memory((class.memory + 0.03).min(1.0)),
+            Note::Spills(_) => class.memory.set((class.memory.log + 0.03).min(1.0)),
             Note::WaitsForMemory | Note::WaitsForLoad => {}
         }
     }
@@ -691,12 +676,12 @@
 
     /// The same with the class's estimates corrected.
     fn alone(&self, new: &NewRequest) -> Millis {
-        self.nominal(new) * self.classes[new.class.0].bias_factor
+        self.nominal(new) * self.classes[new.class.0].bias.factor
     }
 
     /// The time that a run of it takes, on the fleet's average.
     fn expected_run(&self, new: &NewRequest) -> Millis {
-        self.alone(new) * self.classes[new.class.0].stretch_factor
+        self.alone(new) * self.classes[new.class.0].stretch.factor
     }
 
     /// Worth still to be had for each unit of work.
@@ -817,7 +802,7 @@
     /// What one run of the request takes up; memory with its margin.
     fn needs(&self, new: &NewRequest) -> Held {
         let threads = self.settings.classes[new.class.0].threads;
-        let memory = new.memory_mb * self.classes[new.class.0].memory_factor * GRANT_MARGIN;
+        let memory = new.memory_mb * self.classes[new.class.0].memory.factor * GRANT_MARGIN;
         Held { queries: 1.0, threads, memory }
     }
 
@@ -969,6 +954,13 @@
         engine.entry.readiness == Readiness::Up && self.now >= engine.barred_until && !blamed
     }
 
+    /// How many engines that take work are left alone at this time.
+    pub fn avoided(&mut self, now: Millis) -> usize {
+        self.now = self.now.max(now);
+        let up = self.engines.values().filter(|engine| engine.entry.readiness == Readiness::Up);
+        up.filter(|engine| !self.healthy(engine)).count()
+    }
+
     /// How much slower than usual an engine is.
     fn slowness(&self, engine: EngineId) -> f64 {
         let mean = self.engines.get(&engine).map_or(0.0, |at| at.slowness.shrunk(self.now, ENGINE_HORIZON));
@@ -1001,11 +993,6 @@
     /// The work of a usual request of the class; only estimates that run low are corrected.
     fn usual_work(&self, class: ClassId) -> Millis {
         let class = &self.classes[class.0];
-        class.work.value * class.bias_factor.max(1.0)
+        class.work.value * class.bias.factor.max(1.0)
     }
 }
-
-fn bin_of(ratio: f64) -> usize {
-    let bin = (ratio.max(BIN_FIRST) / BIN_FIRST).ln() / BIN_RATIO.ln();
-    (bin as usize).min(BINS - 1)
-}
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -34,14 +34,66 @@
     }
 }
 
+/// A factor that is kept as its log.
+#[derive(Clone, Copy)]
+pub struct Log {
+    /// The log.
+    pub log: f64,
+    /// Its exponential.
+    pub factor: f64,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log { log: 0.0, factor: 1.0 }
+    }
+}
+
+impl Log {
+    /// Sets the log.
+    pub fn set(&mut self, log: f64) {
+        *self = Log { log, factor: log.exp() };
+    }
+}
+
+/// A factor that is the exponential of a mean of logs.
+#[derive(Clone, Copy)]
+pub struct LogMean {
+    /// The mean of the logs.
+    pub mean: Mean,
+    /// Its exponential.
+    pub factor: f64,
+}
+
+impl Default for LogMean {
+    fn default() -> Self {
+        LogMean { mean: Mean::default(), factor: 1.0 }
+    }
+}
+
+impl LogMean {
+    /// Adds the log of a sample.
+    pub fn add(&mut self, log: f64, now: Millis, horizon: Millis) {
+        self.mean.add(log, now, horizon);
+        self.factor = self.mean.value.exp();
+    }
+}
+
+/// Bins of the histogram and the ratio between their edges: 0.02 to about 700 times the estimate.
+pub const BINS: usize = 96;
+const BIN_RATIO: f64 = 1.115;
+const BIN_FIRST: f64 = 0.02;
+
+/// The bin of a ratio.
+pub fn bin_of(ratio: f64) -> usize {
+    let bin = (ratio.max(BIN_FIRST) / BIN_FIRST).ln() / BIN_RATIO.ln();
+    (bin as usize).min(BINS - 1)
+}
+
 /// Survival by the product-limit (Kaplan-Meier) estimate from counts by bin of what was last seen there and of
 /// what of it ended there, the rest being right-censored: for each bin's upper edge, the area under the curve
 /// up to it and the survival there; with the whole area up to the longest time seen.
-pub fn product_limit(
-    ends: &[u32],
-    seen: &[u32],
-    edge_of: impl Fn(usize) -> f64,
-) -> (Vec<(f64, f64, f64)>, f64) {
+pub fn product_limit(ends: &[u32], seen: &[u32]) -> (Vec<(f64, f64, f64)>, f64) {
     let mut at_risk: u32 = seen.iter().sum();
     let (mut survival, mut area, mut from) = (1.0, 0.0, 0.0);
     let mut curve = Vec::new();
@@ -49,7 +101,7 @@
         if at_risk == 0 {
             break;
         }
-        let edge = edge_of(bin);
+        let edge = BIN_FIRST * BIN_RATIO.powi(bin as i32 + 1);
         let after = survival * (1.0 - f64::from(*ended) / f64::from(at_risk));
         area += (edge - from) * 0.5 * (survival + after);
         survival = after;
@@ -67,3 +119,23 @@
         queue.pop_front();
     }
 }
+
+/// What queries take up.
+#[derive(Clone, Copy, Default)]
+pub struct Held {
+    /// Queries.
+    pub queries: f64,
+    /// Their threads.
+    pub threads: f64,
+    /// Their memory in MB.
+    pub memory: f64,
+}
+
+impl Held {
+    /// Adds another so many times.
+    pub fn add(&mut self, other: Held, times: f64) {
+        self.queries += other.queries * times;
+        self.threads += other.threads * times;
+        self.memory += other.memory * times;
+    }
+}
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -23,6 +24,7 @@
 pub struct Proxy {
     child: Child,
     pub address: SocketAddr,
+    door: SocketAddr,
     config: PathBuf,
 }
 
@@ -34,16 +36,37 @@
 
     /// The same, with a coordinator that it follows.
     pub fn follow(databases: &[&Database], coordinator: Option<&Coordinator>) -> Self {
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let name = format!("gaugestep-{}-{}.json", std::process::id(), address.port());
+        Self::launch(free_address(), databases, coordinator, None)
+    }
+
+    /// Starts one on a listening socket that the test holds, as a platform does.
+    pub fn inherit(listener: &TcpListener, databases: &[&Database]) -> Self {
+        Self::launch(listener.local_addr().unwrap(), databases, None, Some(listener))
+    }
+
+    fn launch(
+        address: SocketAddr,
+        databases: &[&Database],
+        coordinator: Option<&Coordinator>,
+        listener: Option<&TcpListener>,
+    ) -> Self {
+        let door = free_address();
+        let name = format!("gaugestep-{}-{}.json", std::process::id(), door.port());
         let config = std::env::temp_dir().join(name);
-        write_config(&config, address, databases, coordinator);
-        let program = env!("CARGO_BIN_EXE_gaugestep");
-        let child =
-            Command::new(program).arg("serve").env("EDGE_CONFIG", &config).stderr(Stdio::null()).spawn();
-        let proxy = Proxy { child: child.unwrap(), address, config };
+        write_config(&config, address, door, databases, coordinator);
+        let mut command = Command::new("sh");
+        command.arg("-c").stderr(Stdio::null()).env("EDGE_CONFIG", &config);
+        match listener {
+            None => command.arg(r#"exec "$0" serve"#),
+            Some(listener) => {
+                let socket = OwnedFd::from(listener.try_clone().unwrap());
+                command.stdin(socket).env("EDGE_SOCKET_FD", "5").arg(r#"exec "$0" serve 5<&0 </dev/null"#)
+            }
+        };
+        let child = command.arg(env!("CARGO_BIN_EXE_gaugestep")).spawn();
+        let proxy = Proxy { child: child.unwrap(), address, door, config };
         let until = Instant::now() + PATIENCE;
-        while TcpStream::connect(address).is_err() {
+        while proxy.call("GET", "/ops/readiness").0 != 200 {
             assert!(Instant::now() < until, "the proxy does not start");
             std::thread::sleep(Duration::from_millis(20));
         }
@@ -51,6 +74,27 @@
         proxy
     }
 
+    /// An operator's call: its status, 0 if nobody answers, and the body.
+    pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+        let Ok(mut socket) = TcpStream::connect(self.door) else { return (0, String::new()) };
+        write!(socket, "{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+        let told = rest(&socket);
+        let (head, body) = told.split_once("\r\n\r\n").expect("a whole answer");
+        (head[9..12].parse().unwrap(), body.into())
+    }
+
+    /// One of the figures told to operators.
+    pub fn figure(&self, pointer: &str) -> Option<u64> {
+        let (status, body) = self.call("GET", "/ops/stats");
+        assert_eq!(status, 200);
+        serde_json::from_str::<serde_json::Value>(&body).unwrap().pointer(pointer)?.as_u64()
+    }
+
+    /// A connection to the operators' door.
+    pub fn door(&self) -> TcpStream {
+        TcpStream::connect(self.door).unwrap()
+    }
+
     pub fn client(&self) -> Client {
         Client::open(self.address)
     }
@@ -58,13 +102,33 @@
     /// Sends SIGTERM and waits for the end.
     pub fn stop(&mut self) -> ExitStatus {
         self.signal("-TERM");
+        self.wait()
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
 
     /// Has it read a configuration with another coordinator.
     pub fn reconfigure(&self, databases: &[&Database], coordinator: &Coordinator) {
-        write_config(&self.config, self.address, databases, Some(coordinator));
+        write_config(&self.config, self.address, self.door, databases, Some(coordinator));
+        self.signal("-HUP");
+    }
+
+    /// Has it read its configuration with one text in place of another, and waits until it has counted that.
+    pub fn retune(&self, from: &str, to: &str, figure: &str) {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        assert!(text.contains(from));
+        std::fs::write(&self.config, text.replace(from, to)).unwrap();
+        let before = self.figure(figure);
         self.signal("-HUP");
+        let until = Instant::now() + PATIENCE;
+        while self.figure(figure) == before {
+            assert!(Instant::now() < until, "{figure} does not change");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        std::fs::write(&self.config, text).unwrap();
     }
 
     /// Has it read a configuration that cannot be used.
@@ -78,14 +142,24 @@
     }
 }
 
-fn write_config(path: &Path, listen: SocketAddr, databases: &[&Database], coordinator: Option<&Coordinator>) {
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn write_config(
+    path: &Path,
+    listen: SocketAddr,
+    door: SocketAddr,
+    databases: &[&Database],
+    coordinator: Option<&Coordinator>,
+) {
     let members = databases.iter().enumerate().map(|(index, it)| it.member(&format!("s-{index}"), "SERVING"));
     let members: Vec<String> = members.collect();
     let coordinator = coordinator
         .map(|it| format!(r#""coordinator":"{}","#, it.0.local_addr().unwrap()))
         .unwrap_or_default();
     let text = format!(
-        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f","limits":{{"sockets":256}},"settings":{SETTINGS},{coordinator}
+        r#"{{"name":"n0","listen":"{listen}","management":"{door}","seed":"8c1f","limits":{{"sockets":256}},"settings":{SETTINGS},{coordinator}
         "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"complete":true,"members":[{}]}}}}]}}}}"#,
         members.join(",")
     );
