Make room for descriptors at the start, and run coroutines on one thread only

Now the highest descriptor is taken once at the start, while there is one thread (rustix, F_DUPFD). Also found by reading and measured by a probe (7 ticks on one thread, 2 on another): a coroutine whose sleep or park_timeout runs out goes on in may's timer thread, beside the worker that task.rs takes for the only one; and a time of 1 ms can run out before the coroutine is stored (park.rs subscribe), after which the ticker would never wake. At fault: facade.rs run_ticker, all uses of may::coroutine::sleep. The ticker is a thread now, sleepers are woken by message. Both tests fail without: two busy threads instead of one; room for 256 descriptors instead of 900.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::Thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use gaugestep::interface::*;
@@ -111,8 +112,8 @@
 /// Milliseconds between two times that the module looks at all that waits, while much is open.
 const SETTLE_EVERY: Millis = 1.0;
 
-/// Milliseconds above which the ticker waits for whole multiples of this.
-const LONG_WAIT: u64 = 20;
+/// Microseconds after which the ticker looks again, whatever it was told.
+const LONGEST_WAIT: u64 = 1_000_000;
 
 /// A request as the facade keeps it.
 struct Entry<Back> {
@@ -170,8 +171,8 @@
     started: Instant,
     /// Unix time of the clock's zero, in milliseconds.
     epoch: Millis,
-    /// The coroutine that calls [`Facade::tick`], and when it will next, in microseconds.
-    ticker: Mutex<(Option<may::coroutine::Coroutine>, u64)>,
+    /// The thread that calls [`Facade::tick`], and when it will next, in microseconds.
+    ticker: Mutex<(Option<Thread>, u64)>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -335,18 +336,19 @@
         }
     }
 
-    /// Calls [`Facade::tick`] for good, whenever something is due.
+    /// Calls [`Facade::tick`] for good, whenever something is due. Blocks its thread, which must run no coroutine.
     pub fn run_ticker(&self) {
-        lock(&self.ticker).0 = Some(may::coroutine::current());
+        lock(&self.ticker).0 = Some(std::thread::current());
         loop {
             let now = micros(self.now());
+            // Both at once: an alarm set in between would find a time that has passed, and wake nobody.
+            let mut ticker = lock(&self.ticker);
             let next = lock(&self.inner).next();
-            lock(&self.ticker).1 = next;
-            // Few different lengths: may keeps a list for every length of time that was ever waited for.
-            let wait = next.saturating_sub(now).div_ceil(1_000).clamp(1, 1_000);
-            let wait = if wait > LONG_WAIT { wait / LONG_WAIT * LONG_WAIT } else { wait };
+            ticker.1 = next;
+            drop(ticker);
             if next > now {
-                may::coroutine::park_timeout(Duration::from_millis(wait));
+                let wait = (next - now).min(LONGEST_WAIT);
+                std::thread::park_timeout(Duration::from_micros(wait));
             }
             self.tick();
         }
@@ -409,8 +411,8 @@
         drop(inner);
         let ticker = lock(&self.ticker);
         if next < ticker.1 {
-            if let Some(coroutine) = &ticker.0 {
-                coroutine.unpark();
+            if let Some(thread) = &ticker.0 {
+                thread.unpark();
             }
         }
         drop(ticker);
--- a/src/main.rs
+++ b/src/main.rs
@@ -75,6 +75,7 @@
         Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("cannot take signals: {error}"))?;
     let config = Config::load(path)?;
     let shape = config::read(path)?;
+    make_descriptors(config.limits.descriptors);
     // Lines are written by a thread of their own, so that a slow reader of the log stops no coroutine.
     let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .buffered_lines_limit(4096)
@@ -112,3 +113,13 @@
     }
     Ok(())
 }
+
+/// Has the kernel make room for all descriptors that the process may hold. Guards against doing so under load: with
+/// more than one thread each step (64, 128, 256, ...) waits for the whole machine, and the worker stood still for
+/// seconds in `accept`.
+fn make_descriptors(most: usize) {
+    let last = i32::try_from(most.saturating_sub(1)).unwrap_or(i32::MAX);
+    if let Err(error) = rustix::io::fcntl_dupfd_cloexec(std::io::stderr(), last) {
+        eprintln!("gaugestep: no room for {most} descriptors: {error}");
+    }
+}
--- a/src/net/back/lines.rs
+++ b/src/net/back/lines.rs
@@ -252,7 +252,7 @@
         // Ahead of the databases, which close idle connections too: a send must not cross their close.
         let idle = Duration::from_millis(self.limits.idle_ms * 2 / 3);
         loop {
-            may::coroutine::sleep(SWEEP);
+            task::sleep(SWEEP);
             let mut connections = lock(&self.connections);
             connections.retain(|connection| connection.strong_count() > 0);
             for connection in connections.iter().filter_map(Weak::upgrade) {
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -10,8 +10,8 @@
 use may::net::TcpStream;
 use serde_json::Value;
 
-use super::lock;
 use super::relay::Gateway;
+use super::{lock, task};
 
 /// A comment comes each second: silence for longer means that the connection is dead.
 const SILENCE: Duration = Duration::from_millis(2_500);
@@ -159,7 +159,7 @@
             let moved = place.address != address;
             drop(place);
             if !moved {
-                may::coroutine::sleep(PAUSE);
+                task::sleep(PAUSE);
             }
         }
     }
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -300,7 +300,7 @@
             } else {
                 rounds += 1;
                 if rounds % ROUNDS == 0 {
-                    may::coroutine::sleep(PAUSE);
+                    task::sleep(PAUSE);
                 }
             }
         }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -34,7 +34,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 tracing::warn!("cannot accept an operator's call: {error}");
-                may::coroutine::sleep(PAUSE);
+                task::sleep(PAUSE);
                 continue;
             }
         };
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -120,13 +120,17 @@
             task::spawn(name, task).map_err(|error| format!("cannot start a coroutine: {error}"))
         };
         let ticking = gateway.clone();
-        start("ticker", Box::new(move || ticking.facade.run_ticker()))?;
+        // A thread and no coroutine, for the reason that `task::sleep` gives.
+        std::thread::Builder::new()
+            .name("ticker".into())
+            .spawn(move || ticking.facade.run_ticker())
+            .map_err(|error| format!("cannot start a thread: {error}"))?;
         start("sweeper", Box::new(move || gateway.lines.run_sweeper()))?;
         start("coordinator", Box::new(move || roster.follow()))?;
         let watched = front.clone();
         let sweep = move || {
             loop {
-                may::coroutine::sleep(SESSION_SWEEP);
+                task::sleep(SESSION_SWEEP);
                 watched.look_over();
             }
         };
@@ -182,7 +186,7 @@
         let server = self.clone();
         let spawned = task::spawn("drain", move || {
             for (wait, leave) in [(FRONT_SEES, Leave::Answered), (SESSIONS_GO, Leave::Idle)] {
-                may::coroutine::sleep(wait);
+                task::sleep(wait);
                 if server.drains.load(Ordering::Relaxed) != before + 1
                     || server.stopping.load(Ordering::Relaxed)
                 {
@@ -276,7 +280,7 @@
                 }
                 accepted += 1;
                 if accepted % ACCEPTS == 0 {
-                    may::coroutine::sleep(TURN);
+                    task::sleep(TURN);
                 }
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -284,7 +288,7 @@
             }
             Err(error) => {
                 tracing::warn!("cannot accept: {error}");
-                may::coroutine::sleep(LOOK);
+                task::sleep(LOOK);
             }
         }
     }
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -39,6 +39,12 @@
         Self::launch(free_address(), databases, coordinator, None)
     }
 
+    /// Starts one that may hold so many descriptors.
+    pub fn roomy(descriptors: usize) -> Self {
+        let text = format!(r#""sockets":{descriptors}"#);
+        Self::launch_with(free_address(), &[], None, None, &|it| it.replace(r#""sockets":256"#, &text))
+    }
+
     /// Starts one on a listening socket that the test holds, as a platform does.
     pub fn inherit(listener: &TcpListener, databases: &[&Database]) -> Self {
         Self::launch(listener.local_addr().unwrap(), databases, None, Some(listener))
@@ -49,11 +55,22 @@
         databases: &[&Database],
         coordinator: Option<&Coordinator>,
         listener: Option<&TcpListener>,
+    ) -> Self {
+        Self::launch_with(address, databases, coordinator, listener, &|text| text)
+    }
+
+    fn launch_with(
+        address: SocketAddr,
+        databases: &[&Database],
+        coordinator: Option<&Coordinator>,
+        listener: Option<&TcpListener>,
+        change: &dyn Fn(String) -> String,
     ) -> Self {
         let door = free_address();
         let name = format!("gaugestep-{}-{}.json", std::process::id(), door.port());
         let config = std::env::temp_dir().join(name);
         write_config(&config, address, door, databases, coordinator);
+        std::fs::write(&config, change(std::fs::read_to_string(&config).unwrap())).unwrap();
         let mut command = Command::new("sh");
         command.arg("-c").stderr(Stdio::null()).env("EDGE_CONFIG", &config);
         match listener {
@@ -137,6 +154,23 @@
         self.signal("-HUP");
     }
 
+    /// What the system tells of the process.
+    pub fn status(&self, name: &str) -> String {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        status.lines().find_map(|line| line.strip_prefix(name)).unwrap().trim().to_owned()
+    }
+
+    /// Its threads by name, and how often each has waited.
+    pub fn threads(&self) -> Vec<(String, u64)> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let thread = |task: std::fs::DirEntry| {
+            let status = std::fs::read_to_string(task.path().join("status")).unwrap();
+            let field = |name| status.lines().find_map(|line| line.strip_prefix(name)).unwrap().trim();
+            (field("Name:").to_owned(), field("voluntary_ctxt_switches:").parse().unwrap())
+        };
+        tasks.map(|task| thread(task.unwrap())).collect()
+    }
+
     pub fn signal(&self, name: &str) {
         Command::new("kill").arg(name).arg(self.child.id().to_string()).status().unwrap();
     }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -352,3 +352,21 @@
     stream.write_all(event(3, &[second.member("s-0", "SERVING")]).as_bytes()).unwrap();
     reached(&proxy, &second);
 }
+
+/// Guards the one worker: a coroutine whose sleep runs out in may's own timers goes on in another thread beside it.
+#[cfg(target_os = "linux")]
+#[test]
+fn coroutines_run_on_one_thread() {
+    let proxy = Proxy::start(&[&Database::new()]);
+    std::thread::sleep(std::time::Duration::from_millis(1_500));
+    let busy = proxy.threads().iter().filter(|(name, waits)| name == "gaugestep" && *waits > 8).count();
+    assert_eq!(busy, 1, "{:?}", proxy.threads());
+}
+
+/// Guards against a worker that stands still while the kernel makes room for descriptors.
+#[cfg(target_os = "linux")]
+#[test]
+fn there_is_room_for_all_descriptors_from_the_start() {
+    let room: usize = Proxy::roomy(900).status("FDSize:").parse().unwrap();
+    assert!(room >= 900, "room for {room}");
+}
