Give a request up once two engines have failed at it

At fault: rules.rs further_attempt, which took any number of errors for the engines'. The test fails without it: a third attempt is sent.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,6 +69,8 @@
 const STRIKE_EVERY: Millis = 100.0;
 /// Blame from which an engine is left alone, if it is twice the fleet's: what fails fast draws ever more.
 const BLAME_OUT: f64 = 0.15;
+/// Errors from different engines after which a request is given up.
+const ERRORS_OUT: usize = 2;
 /// ms that an engine is left alone at first, doubled with each further one up to the most.
 const BAR_FIRST: Millis = 250.0;
 const BAR_MOST: Millis = 4_000.0;
@@ -447,7 +449,9 @@
             Effect::Safe | Effect::Keyed(..) => true,
             Effect::Unsafe => !request.may_have_run(),
         };
-        tried < request.most && alone && repeatable && self.budget_left()
+        // What fails on several engines fails by itself: more tries would take the ration, and its client's time.
+        let failed = request.attempts.iter().filter(|at| at.ended == Some(Outcome::Errored)).count();
+        failed < ERRORS_OUT && tried < request.most && alone && repeatable && self.budget_left()
     }
 
     /// Whether the budget has room for one further attempt in the window that ends now.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -543,3 +543,14 @@
         .sum();
     assert_eq!(refused, 20);
 }
+
+/// Guards the ration of attempts, and the client's time, against a request that no engine can answer.
+#[test]
+fn a_request_that_fails_on_two_engines_is_given_up_at_once() {
+    let mut desk = Desk::new(settings(vec![class(Effect::Safe, 1.0)]), 4);
+    let first = sends(&desk.arrive(request(1, 0, desk.now + 60_000.0)))[0];
+    let second = sends(&desk.end(1, 0, first, Outcome::Errored, 5.0))[0];
+    assert_ne!(first, second);
+    let end = desk.end(1, 1, second, Outcome::Errored, 5.0);
+    assert_eq!((sends(&end).len(), refusals(&end)), (0, 1));
+}
