--- a/src/rules.rs
+++ b/src/rules.rs
@@ -449,7 +449,7 @@
             Effect::Safe | Effect::Keyed(..) => true,
             Effect::Unsafe => !request.may_have_run(),
         };
-        // What fails on several engines fails by itself: more tries would take the ration, and its client's time.
+        // What fails on several engines fails by itself: more tries would only take the ration.
         let failed = request.attempts.iter().filter(|at| at.ended == Some(Outcome::Errored)).count();
         failed < ERRORS_OUT && tried < request.most && alone && repeatable && self.budget_left()
     }
