Send requests of unknown classes instead of refusing them for good, and say why

Need: the README's first example was answered `refused, nothing was done: backoff=2000` at once, every time, with no attempt sent; with `est=50` added it was served.

Cause: `nominal` takes 1,000 ms of work for a request without estimate, `expected_run` makes 1,000 ms of it, more than the example's aim of 500 ms; `late_share` is absent, so `rank` is 0 and `too_late` holds at arrival. `due` answers before `serve_waiting` looks, and as nothing is sent, bias and stretch never move. Checked by a probe through the module alone (tests/module.rs, `strict`): the first request is refused in the same event, also after thirty requests with estimates of 50 ms were served, as their bias of 1 leaves the assumed second as it is.

Change: while answers of a class weigh less than half of one (forgotten over 20 s), its expected run counts as 0; what answers tell of the class's work stands in for a missing estimate. A refusal carries its reason, told in the hint of the PostgreSQL error. What is kept of requests and attempts moves to src/requests.rs, which decides nothing.

--- a/examples/toy_database.py
+++ b/examples/toy_database.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
-"""A toy database on 127.0.0.1:9101: answers every statement with two rows after 50 ms."""
+"""A toy database on 127.0.0.1:9101, or at HOST:PORT if named: answers every statement with two rows after 50 ms."""
 import socketserver
+import sys
 import time
 
 
@@ -20,5 +21,6 @@
 
 
 socketserver.ThreadingTCPServer.allow_reuse_address = True
-with socketserver.ThreadingTCPServer(("127.0.0.1", 9101), Connection) as server:
+host, port = (sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1:9101").split(":")
+with socketserver.ThreadingTCPServer((host, int(port)), Connection) as server:
     server.serve_forever()
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -23,7 +23,7 @@
     /// The module gives what runs another priority.
     Priority(u8),
     /// The module's final answer: refused; milliseconds to stay away.
-    Refuse(Millis),
+    Refuse(Millis, Refusal),
     /// The module's final answer: failed.
     Fail,
     /// The deadline has come while this attempt was out.
@@ -51,7 +51,7 @@
     /// Make this attempt, then [`Facade::report`] its end.
     Send(Sending),
     /// Refuse it; the client should stay away for so many milliseconds.
-    Refuse(Millis),
+    Refuse(Millis, Refusal),
     /// Fail it.
     Fail,
     /// Nothing was taken: a request with this id is open.
@@ -94,7 +94,7 @@
     fn last_word(&self) -> Step {
         while let Ok(letter) = self.letters.try_recv() {
             match letter {
-                Letter::Refuse(backoff) => return Step::Refuse(backoff),
+                Letter::Refuse(backoff, reason) => return Step::Refuse(backoff, reason),
                 Letter::Fail => return Step::Fail,
                 _ => {}
             }
@@ -359,7 +359,7 @@
         loop {
             match mailbox.next() {
                 Letter::Send(sending) => return Step::Send(sending),
-                Letter::Refuse(backoff) => return Step::Refuse(backoff),
+                Letter::Refuse(backoff, reason) => return Step::Refuse(backoff, reason),
                 Letter::Fail => return Step::Fail,
                 Letter::ClientGone => {
                     self.client_gone(id);
@@ -461,7 +461,9 @@
                     let _ = entry.post.send(Letter::Cancel(attempt));
                 }
             }
-            Action::Refuse { id, retry_after } => Self::answer(inner, &id, Letter::Refuse(retry_after)),
+            Action::Refuse { id, retry_after, reason } => {
+                Self::answer(inner, &id, Letter::Refuse(retry_after, reason));
+            }
             Action::Fail { id } => Self::answer(inner, &id, Letter::Fail),
             Action::SetTerms { id, priority, .. } => {
                 if let Some(entry) = inner.requests.get_mut(&id) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -415,6 +415,33 @@
     Timer(TimerId),
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its attempts failed or were turned away, and no further one may be made.
+    Tried,
+    /// Its time ran out while no engine had room for it.
+    Waited,
+    /// By what answers of its class tell, its run does not fit into the time that is left, or would earn nothing.
+    TooLong,
+    /// Too many requests are open, and it is worth least for its work.
+    Crowded,
+}
+
+impl Refusal {
+    /// The reason in words, for people who use clients.
+    pub fn words(self) -> &'static str {
+        match self {
+            Refusal::Tried => "attempts on engines failed, and no further one is allowed",
+            Refusal::Waited => "no engine had room before the time ran out",
+            Refusal::TooLong => {
+                "runs of this class take longer than the time that is left, or than is wanted"
+            }
+            Refusal::Crowded => "too many requests are open, and others are worth more for their work",
+        }
+    }
+}
+
 /// What the module wants done, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -438,6 +465,8 @@
         id: RequestId,
         /// How long the client should stay away; 0 gives no advice.
         retry_after: Millis,
+        /// Why it is refused.
+        reason: Refusal,
     },
     /// Final answer: failed, nothing promised about the effect.
     Fail {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 #![doc = include_str!("../README.md")]
 
 pub mod interface;
+mod requests;
 pub mod rules;
 mod stats;
 pub mod wire;
--- a/src/net/front/message.rs
+++ b/src/net/front/message.rs
@@ -133,12 +133,21 @@
 
 /// An error; a fatal one ends the session.
 pub fn error(out: &mut Vec<u8>, fatal: bool, code: &str, message: &str) {
+    error_with_hint(out, fatal, code, message, None);
+}
+
+/// The same, with a hint at what is behind it.
+pub fn error_with_hint(out: &mut Vec<u8>, fatal: bool, code: &str, message: &str, hint: Option<&str>) {
     let severity = if fatal { "FATAL" } else { "ERROR" };
     put(out, b'E', |out| {
         for (field, value) in [(b'S', severity), (b'V', severity), (b'C', code), (b'M', message)] {
             out.push(field);
             text(out, value);
         }
+        if let Some(hint) = hint {
+            out.push(b'H');
+            text(out, hint);
+        }
         out.push(0);
     });
 }
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -396,9 +396,9 @@
         let out = self.out.buffer();
         match answer {
             Answer::Served(pages) => message::result(out, &running.word, &pages),
-            Answer::Refused(backoff) => {
+            Answer::Refused(backoff, reason) => {
                 let text = format!("refused, nothing was done: backoff={:.0}", backoff.max(0.0));
-                message::error(out, false, "53000", &text);
+                message::error_with_hint(out, false, "53000", &text, Some(reason.words()));
             }
             Answer::Duplicate => message::error(out, false, "42710", "a request with this 'rid' is open"),
             Answer::Failed => message::error(out, false, "58000", "failed: the statement may have run"),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,7 +16,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use gaugestep::interface::{Cost, LoadReport, NewRequest, Note};
+use gaugestep::interface::{Cost, LoadReport, NewRequest, Note, Refusal};
 
 use crate::facade::Letter;
 use classes::Class;
@@ -42,7 +42,7 @@
     /// Served.
     Served(Pages),
     /// It never ran, or may be repeated: the client may come again, after so many milliseconds.
-    Refused(f64),
+    Refused(f64, Refusal),
     /// Failed; nothing is promised.
     Failed,
     /// Not taken: its id is that of a request which is open.
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -52,7 +52,7 @@
     loop {
         step = match step {
             Step::Send(sending) => request.attempt(sending),
-            Step::Refuse(backoff) => return request.answer(Answer::Refused(backoff)),
+            Step::Refuse(backoff, reason) => return request.answer(Answer::Refused(backoff, reason)),
             Step::Fail => return request.answer(Answer::Failed),
             Step::Duplicate => return request.answer(Answer::Duplicate),
             Step::Over => return,
@@ -73,7 +73,7 @@
         let Some(give) = self.answer.take() else { return };
         match answer {
             Answer::Served(_) => self.query.class.succeeded(),
-            Answer::Refused(_) => self.query.class.declined(),
+            Answer::Refused(..) => self.query.class.declined(),
             Answer::Failed | Answer::Duplicate => self.query.class.aborted(),
         }
         give(answer);
@@ -102,7 +102,7 @@
                     }
                     News::Ended(end) => break end,
                 },
-                Letter::Refuse(backoff) => self.answer(Answer::Refused(backoff)),
+                Letter::Refuse(backoff, reason) => self.answer(Answer::Refused(backoff, reason)),
                 Letter::Fail => self.answer(Answer::Failed),
                 Letter::ClientGone => {
                     self.answer = None;
--- /dev/null
+++ b/src/requests.rs
@@ -0,0 +1,60 @@
+//! What is remembered of a request and its attempts; nothing is decided here.
+
+use std::collections::VecDeque;
+
+use crate::interface::{EngineId, Millis, NewRequest, Outcome, RequestId};
+
+/// One attempt of a request.
+pub struct Attempt {
+    pub engine: EngineId,
+    pub sent: Millis,
+    pub ended: Option<Outcome>,
+    /// Cancelled because it ran past tau.
+    pub cut: bool,
+    /// Latest share done, and when it was told.
+    pub done: Option<(f64, Millis)>,
+}
+
+impl Attempt {
+    /// The time left as the latest note tells it.
+    pub fn left(&self) -> Option<Millis> {
+        self.done.map(|(share, at)| (at - self.sent) / share.max(1e-3) * (1.0 - share))
+    }
+}
+
+/// A request that is not finished, or has attempts without outcome.
+pub struct Request {
+    pub new: NewRequest,
+    pub arrived: Millis,
+    /// The part of it taken to be within its tenant's share.
+    pub within: f64,
+    pub never_cut: bool,
+    pub finished: bool,
+    /// Attempts that it may have at most, by the settings that it came under.
+    pub most: usize,
+    pub attempts: Vec<Attempt>,
+}
+
+impl Request {
+    /// The attempts without outcome.
+    pub fn live(&self) -> impl Iterator<Item = (usize, &Attempt)> {
+        self.attempts.iter().enumerate().filter(|(_, attempt)| attempt.ended.is_none())
+    }
+
+    /// Whether an attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|attempt| !attempt.ended.is_some_and(Outcome::never_ran))
+    }
+
+    /// Whether an attempt before this one was cut, which makes it the rerun.
+    pub fn cut_before(&self, attempt: usize) -> bool {
+        self.attempts.iter().take(attempt).any(|attempt| attempt.cut)
+    }
+}
+
+/// Requests of one key, in turn.
+#[derive(Default)]
+pub struct KeyLine {
+    pub queue: VecDeque<RequestId>,
+    pub rests_until: Millis,
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
-use crate::stats::{BINS, Held, Log, LogMean, Mean, bin_of, product_limit, remember};
+use crate::requests::{Attempt, KeyLine, Request};
+use crate::stats::{BINS, Held, Log, LogMean, Mean, bin_of, product_limit, remember, since};
 
 /// ms that a timer or an outcome may come late; half the usual slack for answers.
 const TICK: Millis = 10.0;
@@ -61,6 +62,8 @@
 const REPORT_TRUST: Millis = 2_000.0;
 /// Share of what is known of the usual query that each end replaces: some 50 ends tell the mix.
 const MIX_STEP: f64 = 0.02;
+/// The same for the memory that a class needs: some 20 ends.
+const MEMORY_STEP: f64 = 0.05;
 /// Part of a cold engine's budget used in a window: its speed is not told, and two windows may adjoin.
 const COLD_PART: f64 = 0.3;
 /// Strikes at which an engine is left alone: a full answer, two failed connects, three resets or errors that
@@ -81,54 +84,11 @@
 const FEW: usize = 300;
 /// Share of the requests that may be open from which on only the most urgent are sent.
 const SLOW_OPEN: f64 = 0.85;
-/// ms of work taken for a request without an estimate.
+/// ms of work taken for a request without an estimate until an answer of its class tells of it.
 const UNKNOWN_WORK: Millis = 1_000.0;
-
-/// One attempt of a request.
-struct Attempt {
-    engine: EngineId,
-    sent: Millis,
-    ended: Option<Outcome>,
-    /// Cancelled because it ran past tau.
-    cut: bool,
-    /// Latest share done, and when it was told.
-    done: Option<(f64, Millis)>,
-}
-
-impl Attempt {
-    /// The time left as the latest note tells it.
-    fn left(&self) -> Option<Millis> {
-        self.done.map(|(share, at)| (at - self.sent) / share.max(1e-3) * (1.0 - share))
-    }
-}
-
-/// A request that is not finished, or has attempts without outcome.
-struct Request {
-    new: NewRequest,
-    arrived: Millis,
-    /// The part of it taken to be within its tenant's share.
-    within: f64,
-    never_cut: bool,
-    finished: bool,
-    /// Attempts that it may have at most, by the settings that it came under.
-    most: usize,
-    attempts: Vec<Attempt>,
-}
-
-impl Request {
-    fn live(&self) -> impl Iterator<Item = (usize, &Attempt)> {
-        self.attempts.iter().enumerate().filter(|(_, attempt)| attempt.ended.is_none())
-    }
-
-    fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|attempt| !attempt.ended.is_some_and(Outcome::never_ran))
-    }
-
-    /// Whether an attempt before this one was cut, which makes it the rerun.
-    fn cut_before(&self, attempt: usize) -> bool {
-        self.attempts.iter().take(attempt).any(|attempt| attempt.cut)
-    }
-}
+/// Answers, less what is forgotten, from which a class is known. What is not must not count as hopeless: it would
+/// be refused for good, as nothing would be learned.
+const KNOWN: f64 = 0.5;
 
 /// What is due for a request.
 enum Due {
@@ -145,8 +105,9 @@
     tau: Option<f64>,
     /// Mean rerun, in the histogram's unit.
     rerun: f64,
-    /// True over estimated work.
+    /// True over estimated work, and true work over `UNKNOWN_WORK`.
     bias: LogMean,
+    learned: LogMean,
     /// Run time over true work per thread.
     stretch: LogMean,
     /// Needed over estimated memory.
@@ -173,13 +134,6 @@
     held: Held,
 }
 
-/// Requests of one key, in turn.
-#[derive(Default)]
-struct KeyLine {
-    queue: VecDeque<RequestId>,
-    rests_until: Millis,
-}
-
 /// The decisions of one dispatcher.
 pub struct Dispatcher {
     settings: Settings,
@@ -458,11 +412,8 @@
     fn budget_left(&self) -> bool {
         let Some(budget) = self.settings.budget else { return true };
         // The window of attempts is taken a little longer than that of requests, to be safe at its edges.
-        let since = |times: &VecDeque<Millis>, span: Millis| {
-            times.len() - times.partition_point(|at| self.now - *at > span)
-        };
-        let made = since(&self.further, budget.span + TICK);
-        let taken = since(&self.accepted, budget.span - TICK);
+        let made = since(&self.further, self.now - budget.span - TICK);
+        let taken = since(&self.accepted, self.now - budget.span + TICK);
         (made + 1) as f64 <= budget.free + budget.ratio * taken as f64
     }
 
@@ -496,9 +447,7 @@
     /// Takes new settings: what is known of a class goes with its rules.
     fn retuned(&mut self, settings: Settings) {
         let (old, new) = (&self.settings.classes, &settings.classes);
-        for (class, _) in
-            self.classes.iter_mut().zip(old.iter().zip(new)).filter(|(_, (old, new))| old != new)
-        {
+        for (_, class) in self.classes.iter_mut().enumerate().filter(|(at, _)| old.get(*at) != new.get(*at)) {
             *class = Class::default();
         }
         self.classes.resize_with(new.len(), Class::default);
@@ -583,9 +532,7 @@
                     true_nominal = cost.work / self.settings.classes[class_id].threads;
                     class.bias.add((true_nominal / nominal).ln(), now, CLASS_HORIZON);
                     if need > 0.0 && cost.memory_mb > 0.0 {
-                        class
-                            .memory
-                            .set(class.memory.log + ((cost.memory_mb / need).ln() - class.memory.log) / 20.0);
+                        class.memory.step((cost.memory_mb / need).ln(), MEMORY_STEP);
                     }
                 } else {
                     class.memory.set((class.memory.log - 0.001).max(-0.2));
@@ -595,6 +542,8 @@
                     engine.slowness.add(stretch - class.stretch.mean.value, now, ENGINE_HORIZON);
                 }
                 class.stretch.add(stretch, now, CLASS_HORIZON);
+                let work = true_nominal * self.settings.classes[class_id].threads;
+                class.learned.add((work / UNKNOWN_WORK).ln(), now, CLASS_HORIZON);
             }
             // A connection that breaks now and then is the network's doing; failures in a row, with no answer
             // between, are the engine's. This guards against dead, failing and full engines.
@@ -639,10 +588,16 @@
             Effect::Safe | Effect::Keyed(DedupGroup::All, _) => true,
             Effect::Keyed(..) | Effect::Unsafe => !request.may_have_run(),
         };
+        let reason = match request.attempts.is_empty() {
+            false => Refusal::Tried,
+            true if self.now >= self.answer_by(request) => Refusal::Waited,
+            true if self.too_late(request) => Refusal::TooLong,
+            true => Refusal::Crowded,
+        };
         self.unserved += 1;
         let (id_out, retry_after) = (id.clone(), self.settings.max_retry_after);
         out.push(match harmless {
-            true => Action::Refuse { id: id_out, retry_after },
+            true => Action::Refuse { id: id_out, retry_after, reason },
             false => Action::Fail { id: id_out },
         });
         self.finish(id, out);
@@ -672,9 +627,11 @@
 
     // Admission: who goes next.
 
-    /// The time that the request's work would take alone, by its estimate.
+    /// The time that the request's work would take alone, by its estimate; without one, by its class's answers.
     fn nominal(&self, new: &NewRequest) -> Millis {
-        let work = if new.estimate > 0.0 { new.estimate } else { UNKNOWN_WORK };
+        let class = &self.classes[new.class.0];
+        let usual = UNKNOWN_WORK * class.learned.factor / class.bias.factor;
+        let work = if new.estimate > 0.0 { new.estimate } else { usual };
         work / self.settings.classes[new.class.0].threads
     }
 
@@ -683,9 +640,11 @@
         self.nominal(new) * self.classes[new.class.0].bias.factor
     }
 
-    /// The time that a run of it takes, on the fleet's average.
+    /// The time that a run of it takes, on the fleet's average; 0 while no answer of late tells it.
     fn expected_run(&self, new: &NewRequest) -> Millis {
-        self.alone(new) * self.classes[new.class.0].stretch.factor
+        let stretch = &self.classes[new.class.0].stretch;
+        let known = stretch.mean.weight_at(self.now, CLASS_HORIZON) >= KNOWN;
+        if known { self.alone(new) * stretch.factor } else { 0.0 }
     }
 
     /// Worth still to be had for each unit of work.
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -54,6 +54,11 @@
     pub fn set(&mut self, log: f64) {
         *self = Log { log, factor: log.exp() };
     }
+
+    /// Moves the log by this share of the way to a sample.
+    pub fn step(&mut self, sample: f64, share: f64) {
+        self.set(self.log + (sample - self.log) * share);
+    }
 }
 
 /// A factor that is the exponential of a mean of logs.
@@ -120,6 +125,11 @@
     }
 }
 
+/// How many of a queue of times, in order, lie at or after `from`.
+pub fn since(times: &VecDeque<Millis>, from: Millis) -> usize {
+    times.len() - times.partition_point(|at| *at < from)
+}
+
 /// What queries take up.
 #[derive(Clone, Copy, Default)]
 pub struct Held {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -480,7 +480,7 @@
         Action::Cancel { id: RequestId(req), attempt } => {
             writeln!(reply, "cancel dispatcher_id={id} req={req} send_no={}", attempt.0)
         }
-        Action::Refuse { id: RequestId(req), retry_after } => {
+        Action::Refuse { id: RequestId(req), retry_after, .. } => {
             writeln!(reply, "bounce dispatcher_id={id} req={req} wait_ms={retry_after:.3}")
         }
         Action::Fail { id: RequestId(req) } => {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -92,7 +92,10 @@
     let cases = [
         (Action::Send { id: id(), engine: EngineId(4) }, "forward dispatcher_id=1 req=r node=4\n"),
         (Action::Cancel { id: id(), attempt: AttemptNo(2) }, "cancel dispatcher_id=1 req=r send_no=2\n"),
-        (Action::Refuse { id: id(), retry_after: 250.0 }, "bounce dispatcher_id=1 req=r wait_ms=250.000\n"),
+        (
+            Action::Refuse { id: id(), retry_after: 250.0, reason: Refusal::Waited },
+            "bounce dispatcher_id=1 req=r wait_ms=250.000\n",
+        ),
         (Action::Fail { id: id() }, "respond_error dispatcher_id=1 req=r\n"),
         (
             Action::SetTerms { id: id(), memory_mb: 64.2, priority: 3 },
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -2,10 +2,11 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Far more than anything here takes.
@@ -45,6 +46,19 @@
         Self::launch_with(free_address(), &[], None, None, &|it| it.replace(r#""sockets":256"#, &text))
     }
 
+    /// Starts one on a configuration of its own, but for the addresses that it listens on.
+    pub fn configured(text: &str) -> Self {
+        let own = |told: String| {
+            let told: serde_json::Value = serde_json::from_str(&told).unwrap();
+            let mut config: serde_json::Value = serde_json::from_str(text).unwrap();
+            for key in ["listen", "management"] {
+                config[key] = told[key].clone();
+            }
+            config.to_string()
+        };
+        Self::launch_with(free_address(), &[], None, None, &own)
+    }
+
     /// Starts one on a listening socket that the test holds, as a platform does.
     pub fn inherit(listener: &TcpListener, databases: &[&Database]) -> Self {
         Self::launch(listener.local_addr().unwrap(), databases, None, Some(listener))
@@ -176,8 +190,15 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// An address to listen on that nobody else takes in between: each caller gets a loopback address of its own, as ports
+/// of 127.0.0.1 also go to other tests and to outgoing connections.
+pub fn free_address() -> SocketAddr {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let number = TAKEN.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let [_, _, high, low] = process.to_be_bytes();
+    let own = Ipv4Addr::new(127, 1 + low % 254, high, (number % 250 + 1) as u8);
+    TcpListener::bind((own, 0)).unwrap().local_addr().unwrap()
 }
 
 fn write_config(
@@ -209,15 +230,19 @@
 }
 
 /// A client with an open session.
-pub struct Client(pub TcpStream);
+pub struct Client {
+    pub socket: TcpStream,
+    /// The hint of the last error.
+    pub hint: Option<String>,
+}
 
 impl Client {
     pub fn open(address: SocketAddr) -> Self {
-        let mut client = Client(TcpStream::connect(address).unwrap());
-        client.0.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut client = Client { socket: TcpStream::connect(address).unwrap(), hint: None };
+        client.socket.set_read_timeout(Some(PATIENCE)).unwrap();
         let body = b"\0\x03\0\0user\0app\0database\0dw\0\0";
-        client.0.write_all(&(body.len() as u32 + 4).to_be_bytes()).unwrap();
-        client.0.write_all(body).unwrap();
+        client.socket.write_all(&(body.len() as u32 + 4).to_be_bytes()).unwrap();
+        client.socket.write_all(body).unwrap();
         client.answer();
         client
     }
@@ -227,7 +252,7 @@
         message.extend((text.len() as u32 + 5).to_be_bytes());
         message.extend(text.as_bytes());
         message.push(0);
-        self.0.write_all(&message).unwrap();
+        self.socket.write_all(&message).unwrap();
     }
 
     /// The kinds of all messages up to ReadyForQuery; an error also shows its code and text.
@@ -235,16 +260,17 @@
         let mut seen = String::new();
         loop {
             let mut head = [0; 5];
-            self.0.read_exact(&mut head).expect("the session stays open");
+            self.socket.read_exact(&mut head).expect("the session stays open");
             let length = u32::from_be_bytes(head[1..].try_into().unwrap()) as usize - 4;
             let mut body = vec![0; length];
-            self.0.read_exact(&mut body).unwrap();
+            self.socket.read_exact(&mut body).unwrap();
             match head[0] {
                 b'Z' => return seen,
                 b'E' => {
                     let fields: Vec<&str> =
                         body.split(|byte| *byte == 0).map(|f| std::str::from_utf8(f).unwrap()).collect();
                     seen += &format!("E {} {}", &fields[2][1..], &fields[3][1..]);
+                    self.hint = fields.iter().find_map(|field| field.strip_prefix('H')).map(String::from);
                 }
                 kind => seen.push(kind.into()),
             }
--- /dev/null
+++ b/tests/example.rs
@@ -0,0 +1,64 @@
+//! The README's first example, as a newcomer plays it: `examples/config.json`, the toy database, the statement.
+
+#[path = "common/proxy.rs"]
+mod proxy;
+
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use proxy::{PATIENCE, Proxy, free_address};
+
+struct Toy(Child);
+
+impl Drop for Toy {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+}
+
+/// The statement that the README has `psql` send.
+fn statement() -> String {
+    let readme = std::fs::read_to_string(file("README.md")).unwrap();
+    let line = readme.lines().find(|line| line.trim_start().starts_with("\"/* method=")).unwrap();
+    line.trim().trim_matches('"').to_owned()
+}
+
+#[test]
+fn the_example_serves_its_two_rows_to_the_first_query_and_to_those_behind_it() {
+    let at = free_address();
+    let mut toy = Command::new("python3");
+    toy.arg(file("examples/toy_database.py")).arg(at.to_string()).stdout(Stdio::null());
+    let _toy = Toy(toy.spawn().unwrap());
+    let until = Instant::now() + PATIENCE;
+    while TcpStream::connect(at).is_err() {
+        assert!(Instant::now() < until, "the toy database does not start");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let example = std::fs::read_to_string(file("examples/config.json")).unwrap();
+    assert!(example.contains("127.0.0.1:9101"));
+    let proxy = Proxy::configured(&example.replace("127.0.0.1:9101", &at.to_string()));
+    let statement = statement();
+    let rid = "rid=9b1f03aa5c7e2d41";
+    assert!(statement.contains(rid));
+    for number in 0..5 {
+        let text = statement.replace(rid, &format!("rid={number:016x}"));
+        assert_eq!(proxy.client().ask(&text), "TDDC", "query {number}");
+    }
+}
+
+/// A client that reads the error alone learns whether to come back, and why it was turned away.
+#[test]
+fn a_refusal_carries_its_code_and_says_why() {
+    let proxy = Proxy::start(&[]);
+    let mut client = proxy.client();
+    let answer = client.ask("/* method=lookup,rid=00000000000000aa,budget=300 */ SELECT 1");
+    assert!(answer.starts_with("E 53000 refused, nothing was done: backoff="), "{answer}");
+    assert_eq!(client.hint.as_deref(), Some("no engine had room before the time ran out"));
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -554,3 +554,66 @@
     let end = desk.end(1, 1, second, Outcome::Errored, 5.0);
     assert_eq!((sends(&end).len(), refusals(&end)), (0, 1));
 }
+
+/// A class whose late answers are worth nothing, as the README's example has it.
+fn strict() -> Desk {
+    let class = ClassSettings { aim: 500.0, aim_stretch: 0.0, late_share: 0.0, ..class(Effect::Safe, 1.0) };
+    Desk::new(settings(vec![class]), 2)
+}
+
+/// Sends a request and has it served with this work, if it is sent at all.
+fn served(desk: &mut Desk, number: u32, estimate: Millis, work: Millis) -> bool {
+    let new = NewRequest { estimate, ..request(number, 0, desk.now + 1_500.0) };
+    let Some(engine) = sends(&desk.arrive(new)).first().copied() else { return false };
+    desk.now += work;
+    desk.tell(Event::Ended(AttemptEnd {
+        id: id(number),
+        attempt: AttemptNo(0),
+        engine,
+        outcome: Outcome::Served,
+        finished: true,
+        elapsed: work,
+        cost: Some(Cost { work, memory_mb: 8.0 }),
+        load: None,
+    }));
+    true
+}
+
+/// Guards against refusing for good what is only assumed to take too long: nothing would ever be learned.
+#[test]
+fn a_class_without_estimates_is_tried_and_learned_from_its_answers() {
+    let mut desk = strict();
+    for number in 0..30 {
+        assert!(served(&mut desk, number, 0.0, 50.0), "request {number}");
+    }
+}
+
+#[test]
+fn requests_with_estimates_tell_what_those_without_need() {
+    let mut desk = strict();
+    for number in 0..30 {
+        assert!(served(&mut desk, number, 50.0, 50.0));
+    }
+    assert!(served(&mut desk, 30, 0.0, 50.0));
+}
+
+/// What answers told once is forgotten: a class that got slow is tried again after a while, and found quick again.
+#[test]
+fn a_class_that_is_known_to_take_too_long_is_refused_and_tried_again_later() {
+    let mut desk = strict();
+    assert!(served(&mut desk, 0, 0.0, 900.0));
+    let refused = desk.arrive(NewRequest { estimate: 0.0, ..request(1, 0, desk.now + 1_500.0) });
+    let refused = [refused, desk.wait(30.0)].concat();
+    let reason = refused.iter().find_map(|action| match action {
+        Action::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    });
+    assert_eq!(reason, Some(Refusal::TooLong));
+    desk.wait(30_000.0);
+    for number in 10..40 {
+        if !served(&mut desk, number, 0.0, 50.0) {
+            desk.wait(30_000.0);
+        }
+    }
+    assert!(served(&mut desk, 50, 0.0, 50.0), "found quick again");
+}
--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -58,10 +58,10 @@
     let serve = lines.command();
     assert_eq!(proxy.call("PUT", "/ops/drain/start").0, 200);
     assert_eq!(proxy.call("GET", "/ops/readiness").0, 503);
-    assert_eq!(rest(&idle.0), "", "an idle session is closed");
+    assert_eq!(rest(&idle.socket), "", "an idle session is closed");
     lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
     assert_eq!(busy.answer(), "TDC", "what is open is answered");
-    assert_eq!(rest(&busy.0), "");
+    assert_eq!(rest(&busy.socket), "");
     let late = std::net::TcpStream::connect(proxy.address).unwrap();
     (&late).write_all(b"\0\0\0\x09\0\x03\0\0\0").unwrap();
     assert!(rest(&late).contains("57P03"));
@@ -126,7 +126,7 @@
     drop(idle);
     lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
     assert_eq!(busy.answer(), "TDC");
-    assert_eq!(rest(&busy.0), "", "closed behind its answer");
+    assert_eq!(rest(&busy.socket), "", "closed behind its answer");
     assert!(old.wait().success());
     assert_eq!(new.client().ask(""), "I");
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -71,8 +71,8 @@
     assert!(client.ask(&query("lookup", 1, 0)).starts_with("E 42601"));
     assert_eq!(client.ask(" ; "), "I");
     let mut garbage = Client::open(proxy.address);
-    garbage.0.write_all(b"Q\x7f\xff\xff\xff").unwrap();
-    let told = rest(&garbage.0);
+    garbage.socket.write_all(b"Q\x7f\xff\xff\xff").unwrap();
+    let told = rest(&garbage.socket);
     assert!(told.contains("54000"), "{told:?}");
     for bad in ["budget=1e9", "budget=50,est=1e12", "budget=50,est=-1", "budget=50,space=NaN", "budget=inf"] {
         let text = format!("/* method=lookup,rid={:016x},{bad} */ SELECT a FROM sales_17.orders", 1);
@@ -117,7 +117,7 @@
     let answer = std::thread::spawn(move || {
         std::thread::sleep(std::time::Duration::from_millis(1_500));
         lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
-        (client.answer(), rest(&client.0))
+        (client.answer(), rest(&client.socket))
     });
     assert!(proxy.stop().success());
     let (answer, rest) = answer.join().unwrap();
@@ -191,9 +191,9 @@
     let silent = TcpStream::connect(proxy.address).unwrap();
     let mut half = proxy.client();
     let idle = &mut proxy.client();
-    half.0.write_all(b"Q\0\0\0\x20/* met").unwrap();
+    half.socket.write_all(b"Q\0\0\0\x20/* met").unwrap();
     assert!(rest(&silent).contains("57014"));
-    assert!(rest(&half.0).contains("57014"));
+    assert!(rest(&half.socket).contains("57014"));
     assert_eq!(idle.ask(""), "I", "an idle session is left alone");
 }
 
@@ -202,11 +202,11 @@
 fn a_message_too_long_gets_its_error_while_the_client_still_sends() {
     let proxy = Proxy::start(&[&Database::new()]);
     let mut client = proxy.client();
-    client.0.write_all(b"Q\x03\x93\x87\0").unwrap();
+    client.socket.write_all(b"Q\x03\x93\x87\0").unwrap();
     for _ in 0..600 {
-        client.0.write_all(&[b'x'; 10_000]).expect("the proxy goes on reading");
+        client.socket.write_all(&[b'x'; 10_000]).expect("the proxy goes on reading");
     }
-    assert!(rest(&client.0).contains("54000"));
+    assert!(rest(&client.socket).contains("54000"));
 }
 
 /// Guards the request that is open: the answer would go to whoever names its id.
@@ -235,7 +235,7 @@
     // Two fifths of 256 descriptors are for sessions.
     let idle: Vec<Client> = (0..101).map(|_| proxy.client()).collect();
     assert_eq!(proxy.client().ask(""), "I");
-    assert_eq!(rest(&idle[0].0), "");
+    assert_eq!(rest(&idle[0].socket), "");
     lines.say(&serve[1], "HIT", "total=1", "a\tb\tc\n");
     assert_eq!(busy.answer(), "TDC");
 }
