--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,8 +86,8 @@
 const SLOW_OPEN: f64 = 0.85;
 /// ms of work taken for a request without an estimate until an answer of its class tells of it.
 const UNKNOWN_WORK: Millis = 1_000.0;
-/// Answers, less what is forgotten, from which a class is known. What is not must not count as hopeless: it would
-/// be refused for good, as nothing would be learned.
+/// Answers, less what is forgotten, from which a class is known. What is not must not count as hopeless: it
+/// would be refused for good, as nothing would be learned.
 const KNOWN: f64 = 0.5;
 
 /// What is due for a request.
@@ -627,7 +627,7 @@
 
     // Admission: who goes next.
 
-    /// The time that the request's work would take alone, by its estimate; without one, by its class's answers.
+    /// The time that the request's work would take alone, by its estimate, or else by its class's answers.
     fn nominal(&self, new: &NewRequest) -> Millis {
         let class = &self.classes[new.class.0];
         let usual = UNKNOWN_WORK * class.learned.factor / class.bias.factor;
