Leave a line on every way out of the process, and end it when a vital thread panics

What can end it with 1: `main` on an error, which tells it in a line, and `exit(1)` inside `may` (coroutine_impl.rs, when it drops a coroutine whose stack has no untouched word left), which says `stack overflow detected` without place or thread. A panic of the ticker or of the thread that wakes sleepers ended nothing: the process went on and answered nobody. When signals were no longer delivered, the process ended with 0 and said nothing.

Change: src/exits.rs registers a handler with the C library that tells the thread and a backtrace of any `exit` which is not the program's own, and a panic hook that tells the backtrace and aborts where no work goes on without the thread. The end of the signals is an error.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The real proxy: command line and logging.
 
 mod config;
+mod exits;
 mod facade;
 mod net;
 
@@ -50,7 +51,12 @@
 }
 
 fn main() -> ExitCode {
-    let done = match Cli::parse().command {
+    exits::watch();
+    let cli = Cli::try_parse().unwrap_or_else(|told| {
+        exits::planned();
+        told.exit()
+    });
+    let done = match cli.command {
         Command::Serve { config, management, socket_fd } => serve(&config, management, socket_fd),
         Command::CheckConfig { config } => Config::load(&config).map(|config| {
             println!("{}: can be used; listens on {}", config.name, config.listen);
@@ -60,6 +66,7 @@
             Ok(())
         }
     };
+    exits::planned();
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
@@ -109,9 +116,9 @@
         tracing::info!(signal, "draining");
         server.drain();
         tracing::info!("done");
-        break;
+        return Ok(());
     }
-    Ok(())
+    Err("signals are no longer delivered".into())
 }
 
 /// Has the kernel make room for all descriptors that the process may hold. Guards against doing so under load: with
