Add crates/config: versions of the operators' configuration, checked and decided without I/O

Need: the only ways to change a proxy are its start file and SIGHUP: one file, one proxy, no number, no answer.

Change: the repository becomes a workspace; root package, build and run lines are as before. crates/config holds the schema (proto/, compiled by protox, no protoc), documents as protobuf text format, checks of the document alone and against the proxy as it runs (each refusal one value of one enum with the field's path), changes between documents, the ledger of one proxy (offered, checked, staged, in force, refused, rolled back) and the staged rollout of a service with halts on refusals, silence, leaving and worse figures. Nothing uses it yet.

--- /dev/null
+++ b/crates/config/build.rs
@@ -0,0 +1,16 @@
+//! Compiles the schema with crates alone: no `protoc` need be installed.
+
+use std::path::PathBuf;
+
+use prost::Message as _;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let root = PathBuf::from(std::env::var("CARGO_MANIFEST_DIR")?).join("../../proto");
+    println!("cargo:rerun-if-changed={}", root.display());
+    let files = ["gaugestep/config/v1/document.proto", "gaugestep/config/v1/stream.proto"];
+    let compiled = protox::compile(files, [root])?;
+    let out = PathBuf::from(std::env::var("OUT_DIR")?);
+    std::fs::write(out.join("schema.bin"), compiled.encode_to_vec())?;
+    prost_build::Config::new().compile_fds(compiled)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/src/live.rs
@@ -0,0 +1,342 @@
+//! A document against the proxy as it runs, and what of it counts there.
+//!
+//! Decides what a version may not do to the proxy that it meets ([`check`]), which engines a route leaves for a request
+//! ([`Router`]), and that what the platform's own file sets wins ([`Effective`]).
+
+use crate::schema::route::Otherwise;
+use crate::schema::target::Which;
+use crate::{Document, Refusal, schema};
+
+/// Whether an engine takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It does.
+    Up,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// A listed engine; those that have gone are not listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Engine {
+    /// Its id in the list.
+    pub name: String,
+    /// Its kind of machine.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell.
+    pub cell: u64,
+    /// Whether it takes work.
+    pub state: State,
+}
+
+/// A class of the platform's file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Its requests that are open.
+    pub open: u64,
+}
+
+/// What the platform's file and the rules allow.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Platform {
+    /// Tenants by name, with their budget where the file gives one.
+    pub tenants: Vec<(String, Option<f64>)>,
+    /// Requests that may be open together.
+    pub max_open: u64,
+    /// Attempts for one request.
+    pub max_attempts: u64,
+    /// Further attempts for each request and on top, where they are rationed.
+    pub retries: Option<(f64, f64)>,
+}
+
+/// The proxy as it runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Live {
+    /// The engines that are listed; none before the first list has come.
+    pub engines: Option<Vec<Engine>>,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// Requests that are open.
+    pub open: u64,
+    /// What the platform allows.
+    pub platform: Platform,
+}
+
+/// What speaks against taking the document now. The document alone has been checked.
+///
+/// While no list has come, routes are not held against it: a proxy that starts on its last good version must not be
+/// kept from it by a coordinator that is late.
+pub fn check(document: &Document, live: &Live) -> Vec<Refusal> {
+    let mut found = Vec::new();
+    classes(document, live, &mut found);
+    routes(document, live, &mut found);
+    tenants(document, live, &mut found);
+    limits(document, live, &mut found);
+    found
+}
+
+fn classes(document: &Document, live: &Live, found: &mut Vec<Refusal>) {
+    for (at, name) in document.classes.iter().enumerate() {
+        if !live.classes.iter().any(|class| class.name == *name) {
+            let path = format!("classes[{at}]");
+            found.push(Refusal::UnknownName { path, kind: "class", name: name.clone() });
+        }
+    }
+    let dropped = |class: &&Class| !document.classes.is_empty() && !document.classes.contains(&class.name);
+    for class in live.classes.iter().filter(dropped).filter(|class| class.open > 0) {
+        let (path, open) = ("classes".to_owned(), class.open);
+        found.push(Refusal::ClassInUse { path, class: class.name.clone(), open });
+    }
+}
+
+fn routes(document: &Document, live: &Live, found: &mut Vec<Refusal>) {
+    for (at, route) in document.routes.iter().enumerate() {
+        for (place, name) in route.classes.iter().enumerate() {
+            if !live.classes.iter().any(|class| class.name == *name) {
+                let path = format!("routes[{at}].classes[{place}]");
+                found.push(Refusal::UnknownName { path, kind: "class", name: name.clone() });
+            }
+        }
+        for (place, name) in route.tenants.iter().enumerate() {
+            let known = live.platform.tenants.iter().any(|(tenant, _)| tenant == name)
+                || document.tenants.iter().any(|tenant| tenant.name == *name);
+            if !known {
+                let path = format!("routes[{at}].tenants[{place}]");
+                found.push(Refusal::UnknownName { path, kind: "tenant", name: name.clone() });
+            }
+        }
+        let Some(engines) = &live.engines else { continue };
+        let named: Vec<&Engine> = engines.iter().filter(|engine| weight(route, engine).is_some()).collect();
+        let strict = route.otherwise == Otherwise::Wait as i32;
+        if !strict || named.iter().any(|engine| engine.state == State::Up) {
+            continue;
+        }
+        let draining = named.iter().map(|engine| engine.name.clone()).collect();
+        let listed = |name: &str| engines.iter().any(|engine| engine.name == name);
+        let unlisted = route.targets.iter().filter_map(|target| match &target.which {
+            Some(Which::Engine(name)) if !listed(name) => Some(name.clone()),
+            _ => None,
+        });
+        let of_all = live.classes.iter().find(|class| serves(document, &class.name));
+        let class = route.classes.first().or(of_all.map(|class| &class.name)).cloned().unwrap_or_default();
+        let path = format!("routes[{at}].targets");
+        found.push(Refusal::NoUsableEngine { path, class, draining, unlisted: unlisted.collect() });
+    }
+}
+
+fn tenants(document: &Document, live: &Live, found: &mut Vec<Refusal>) {
+    for (at, tenant) in document.tenants.iter().enumerate() {
+        if !live.platform.tenants.iter().any(|(name, _)| *name == tenant.name) {
+            let path = format!("tenants[{at}].name");
+            found.push(Refusal::UnknownName { path, kind: "tenant", name: tenant.name.clone() });
+        }
+    }
+}
+
+fn limits(document: &Document, live: &Live, found: &mut Vec<Refusal>) {
+    let platform = &live.platform;
+    if let Some(limit) = document.limits.as_ref().and_then(|limits| limits.max_open).map(u64::from) {
+        if limit < live.open {
+            let path = "limits.max_open".into();
+            found.push(Refusal::BelowUse { path, limit, in_use: live.open });
+        }
+    }
+    let mut beyond = |path: &str, value: Option<f64>, rule: f64| {
+        if let Some(value) = value.filter(|value| *value > rule) {
+            found.push(Refusal::BeyondRule { path: path.into(), value, rule });
+        }
+    };
+    if let Some(limits) = &document.limits {
+        beyond("limits.max_open", limits.max_open.map(f64::from), platform.max_open as f64);
+        beyond("limits.max_attempts", limits.max_attempts.map(f64::from), platform.max_attempts as f64);
+    }
+    if let (Some(retries), Some((ratio, free))) = (&document.retries, platform.retries) {
+        beyond("retries.ratio", retries.ratio, ratio);
+        beyond("retries.free", retries.free, free);
+    }
+}
+
+/// Whether a class is served under the document.
+pub fn serves(document: &Document, class: &str) -> bool {
+    document.classes.is_empty() || document.classes.iter().any(|name| name == class)
+}
+
+/// The weight of an engine in a route; none if no target names it.
+pub fn weight(route: &schema::Route, engine: &Engine) -> Option<f64> {
+    let names = |target: &&schema::Target| match &target.which {
+        Some(Which::Engine(name)) => *name == engine.name,
+        Some(Which::Kind(name)) => *name == engine.kind,
+        Some(Which::Zone(name)) => *name == engine.zone,
+        Some(Which::Cell(cell)) => *cell == engine.cell,
+        None => false,
+    };
+    route.targets.iter().find(names).map(|target| target.weight.unwrap_or(1.0))
+}
+
+/// Which engines the requests of one class and tenant may go to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The route.
+    pub route: String,
+    /// The engines' names and weights; also those that drain, which nothing new goes to anyway.
+    pub engines: Vec<(String, f64)>,
+    /// None of them takes work now, and the route lets any engine serve meanwhile.
+    pub open_to_all: bool,
+}
+
+/// Finds routes for requests.
+pub struct Router<'a> {
+    document: &'a Document,
+    engines: &'a [Engine],
+}
+
+impl<'a> Router<'a> {
+    /// A router over the engines that are listed.
+    pub fn new(document: &'a Document, engines: &'a [Engine]) -> Self {
+        Router { document, engines }
+    }
+
+    /// The first route that holds for the class and tenant; none if any engine may serve.
+    pub fn choose(&self, class: &str, tenant: &str) -> Option<Choice> {
+        let among = |names: &[String], name: &str| names.is_empty() || names.iter().any(|it| it == name);
+        let holds = |route: &&schema::Route| among(&route.classes, class) && among(&route.tenants, tenant);
+        let route = self.document.routes.iter().find(holds)?;
+        let named = self.engines.iter().filter_map(|engine| Some((engine, weight(route, engine)?)));
+        let up = named.clone().any(|(engine, _)| engine.state == State::Up);
+        Some(Choice {
+            route: route.name.clone(),
+            engines: named.map(|(engine, weight)| (engine.name.clone(), weight)).collect(),
+            open_to_all: !up && route.otherwise == Otherwise::Any as i32,
+        })
+    }
+}
+
+/// The limits that count once the document is in force: the platform's, where the document does not tighten them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Effective {
+    /// Tenants' budgets, in the platform's order; 0 where there is none.
+    pub quotas: Vec<f64>,
+    /// Requests that may be open together.
+    pub max_open: u64,
+    /// Attempts for one request.
+    pub max_attempts: u64,
+    /// Further attempts for each request and on top, where they are rationed.
+    pub retries: Option<(f64, f64)>,
+}
+
+/// What counts under the document on this platform. Guards the platform's file, which wins, whatever was checked.
+pub fn effective(document: &Document, platform: &Platform) -> Effective {
+    let quota = |(name, own): &(String, Option<f64>)| {
+        let told = document.tenants.iter().find(|tenant| tenant.name == *name);
+        own.or(told.map(|tenant| tenant.quota_per_s)).unwrap_or(0.0)
+    };
+    let limits = document.limits.unwrap_or_default();
+    let retries = document.retries.unwrap_or_default();
+    Effective {
+        quotas: platform.tenants.iter().map(quota).collect(),
+        max_open: limits.max_open.map_or(platform.max_open, |most| platform.max_open.min(most.into())),
+        max_attempts: limits
+            .max_attempts
+            .map_or(platform.max_attempts, |most| platform.max_attempts.min(most.into())),
+        retries: match platform.retries {
+            Some((ratio, free)) => {
+                Some((retries.ratio.unwrap_or(ratio).min(ratio), retries.free.unwrap_or(free).min(free)))
+            }
+            None => retries.ratio.map(|ratio| (ratio, retries.free.unwrap_or(0.0))),
+        },
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::text::parse;
+
+    fn engine(name: &str, zone: &str, state: State) -> Engine {
+        Engine { name: name.into(), kind: "k".into(), zone: zone.into(), cell: 0, state }
+    }
+
+    fn live() -> Live {
+        let class = |name: &str, open| Class { name: name.into(), open };
+        Live {
+            engines: Some(vec![
+                engine("s-0", "east", State::Up),
+                engine("s-1", "east", State::Draining),
+                engine("s-2", "west", State::Draining),
+            ]),
+            classes: vec![class("lookup", 3), class("load", 0)],
+            open: 3,
+            platform: Platform {
+                tenants: vec![("acme".into(), Some(10.0)), ("zeta".into(), None)],
+                max_open: 100,
+                max_attempts: 4,
+                retries: Some((0.2, 5.0)),
+            },
+        }
+    }
+
+    fn found(text: &str) -> Vec<Refusal> {
+        check(&parse(text).unwrap(), &live())
+    }
+
+    #[test]
+    fn a_route_to_draining_and_unlisted_engines_is_refused_with_their_names() {
+        let refused = found(
+            r#"routes { name: "r" classes: "lookup" targets { zone: "west" } targets { engine: "s-9" } }"#,
+        );
+        let (draining, unlisted) = (vec!["s-2".to_owned()], vec!["s-9".to_owned()]);
+        let path = "routes[0].targets".into();
+        assert_eq!(refused, [Refusal::NoUsableEngine { path, class: "lookup".into(), draining, unlisted }]);
+        assert!(refused[0].to_string().contains("draining: s-2; not listed: s-9"), "{}", refused[0]);
+        assert_eq!(found(r#"routes { name: "r" targets { zone: "west" } otherwise: ANY }"#), []);
+        assert_eq!(found(r#"routes { name: "r" targets { zone: "east" } }"#), []);
+    }
+
+    #[test]
+    fn what_is_in_use_is_not_taken_away() {
+        let codes = |text| found(text).iter().map(Refusal::code).collect::<Vec<_>>();
+        assert_eq!(codes(r#"classes: "load""#), ["class-in-use"]);
+        assert_eq!(codes(r#"classes: "lookup""#), [] as [&str; 0]);
+        assert_eq!(codes("limits { max_open: 2 }"), ["below-use"]);
+        assert_eq!(codes("limits { max_open: 101 max_attempts: 5 }"), ["beyond-rule", "beyond-rule"]);
+        assert_eq!(codes("retries { ratio: 0.3 free: 6 }"), ["beyond-rule", "beyond-rule"]);
+        assert_eq!(codes(r#"tenants { name: "nobody" quota_per_s: 1 }"#), ["unknown-name"]);
+        assert_eq!(
+            codes(r#"routes { name: "r" classes: "x" tenants: "y" targets { cell: 0 } }"#),
+            ["unknown-name", "unknown-name"]
+        );
+    }
+
+    #[test]
+    fn the_platform_wins() {
+        let document = parse(
+            r#"tenants { name: "acme" quota_per_s: 99 } tenants { name: "zeta" quota_per_s: 7 }
+               limits { max_open: 1000 max_attempts: 2 } retries { ratio: 0.9 }"#,
+        );
+        let counts = effective(&document.unwrap(), &live().platform);
+        assert_eq!(counts.quotas, [10.0, 7.0]);
+        assert_eq!((counts.max_open, counts.max_attempts), (100, 2));
+        assert_eq!(counts.retries, Some((0.2, 5.0)));
+    }
+
+    #[test]
+    fn the_first_route_that_holds_decides() {
+        let document = parse(
+            r#"routes { name: "a" classes: "load" targets { engine: "s-0" weight: 2 } targets { zone: "east" } }
+               routes { name: "b" tenants: "acme" targets { zone: "west" } otherwise: ANY }"#,
+        )
+        .unwrap();
+        let live = live();
+        let engines = live.engines.unwrap();
+        let router = Router::new(&document, &engines);
+        let a = router.choose("load", "acme").unwrap();
+        assert_eq!((a.route.as_str(), a.open_to_all), ("a", false));
+        assert_eq!(a.engines, [("s-0".to_owned(), 2.0), ("s-1".to_owned(), 1.0)]);
+        assert!(router.choose("lookup", "acme").unwrap().open_to_all, "all of the west drain");
+        assert_eq!(router.choose("lookup", "zeta"), None);
+    }
+}
--- /dev/null
+++ b/crates/config/src/rollout.rs
@@ -0,0 +1,689 @@
+//! Which proxy is offered which version, and when a rollout goes on, halts and is rolled back.
+//!
+//! A version goes to a few proxies first, then to a share, then to all. A step holds until all of its proxies have had
+//! the version in force for the time that the plan says. The rollout halts once as many proxies as the plan allows have
+//! turned the version down, have left with it, or have not answered; or once the proxies on it serve a smaller share of
+//! their requests than those on the version before. A halted version is rolled back by publishing the content of the
+//! last complete one under the next number: numbers never fall.
+//!
+//! The embedder keeps the versions, numbers streams, carries out [`Action`]s and tells what proxies say.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::refusal::code_of_content;
+use crate::schema::entry::State;
+use crate::schema::{Plan, Refusal, Version};
+
+/// A proxy that has not answered an offer after this many milliseconds counts as if it had turned it down.
+pub const ANSWER_WITHIN: f64 = 10_000.0;
+/// A proxy that left after it took a version, and is not back after this many milliseconds, counts the same.
+pub const BACK_WITHIN: f64 = 10_000.0;
+/// Worsening must be so many standard errors wide.
+const ERRORS: f64 = 3.0;
+/// Requests to count before figures are compared, where the plan does not say.
+const LEAST_REQUESTS: u64 = 100;
+/// Proxies remembered that are not connected.
+const REMEMBERED: usize = 10_000;
+
+/// What the embedder tells.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A version was published and stored.
+    Published {
+        /// Its number, the highest so far.
+        number: u64,
+        /// How it is rolled out.
+        plan: Plan,
+        /// The version whose content it brings back; 0: none.
+        rolls_back_to: u64,
+    },
+    /// A proxy has opened a stream.
+    Hello {
+        /// Its name.
+        proxy: String,
+        /// The stream; streams' numbers rise.
+        stream: u64,
+        /// The version in force there.
+        in_force: Option<Version>,
+        /// Whether the service has published that very version.
+        known: bool,
+        /// Its build.
+        build: String,
+    },
+    /// A stream has ended.
+    Left {
+        /// The proxy.
+        proxy: String,
+        /// The stream.
+        stream: u64,
+    },
+    /// A proxy has answered.
+    Answered {
+        /// The proxy.
+        proxy: String,
+        /// The stream.
+        stream: u64,
+        /// The offer's nonce.
+        nonce: u64,
+        /// Why the version was turned down, if it was.
+        refusal: Option<Refusal>,
+    },
+    /// A proxy tells what became of its requests since its start.
+    Figures {
+        /// The proxy.
+        proxy: String,
+        /// The stream.
+        stream: u64,
+        /// Requests served.
+        served: u64,
+        /// Requests refused or failed.
+        unserved: u64,
+        /// The version in force meanwhile.
+        number: u64,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Offer a version to a proxy.
+    Offer {
+        /// The proxy.
+        proxy: String,
+        /// Its stream.
+        stream: u64,
+        /// The nonce.
+        nonce: u64,
+        /// The version.
+        number: u64,
+        /// The version that the proxy has in force, against which changes may be sent; 0: none that is known.
+        base: u64,
+    },
+    /// A version's state has changed; to be stored.
+    State {
+        /// The version.
+        number: u64,
+        /// Its state.
+        state: State,
+        /// Why it was halted.
+        why: String,
+    },
+    /// Publish the content of version `to` (0: an empty document) as the next version, to all at once.
+    RollBack {
+        /// The version that was halted.
+        of: u64,
+        /// The version whose content comes back.
+        to: u64,
+        /// Why.
+        why: String,
+    },
+}
+
+/// How far a rollout is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    First,
+    Share,
+    All,
+}
+
+#[derive(Debug)]
+struct Rolling {
+    plan: Plan,
+    state: State,
+    step: Step,
+    /// The proxies that get it before all do.
+    chosen: BTreeSet<String>,
+    /// Proxies that count against it.
+    against: BTreeMap<String, String>,
+    /// Requests served and not served by proxies on it, and meanwhile by the others.
+    on: Counts,
+    off: Counts,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    served: u64,
+    unserved: u64,
+}
+
+impl Counts {
+    fn all(&self) -> u64 {
+        self.served + self.unserved
+    }
+
+    fn share(&self) -> f64 {
+        self.unserved as f64 / self.all().max(1) as f64
+    }
+
+    /// The variance of the share.
+    fn variance(&self) -> f64 {
+        let share = self.share();
+        share * (1.0 - share) / self.all().max(1) as f64
+    }
+}
+
+/// What is known of a proxy.
+#[derive(Clone, Debug, Default)]
+pub struct Proxy {
+    /// Its stream, while it is connected.
+    pub stream: Option<u64>,
+    /// Its build.
+    pub build: String,
+    /// The version in force; 0: none.
+    pub in_force: u64,
+    /// Since when, as far as this service has seen.
+    pub since: f64,
+    /// The offer that is not answered: nonce, version, when.
+    pub offered: Option<(u64, u64, f64)>,
+    /// The last refusal, and of which version.
+    pub refused: Option<(u64, Refusal)>,
+    /// When it was last heard of.
+    pub heard: f64,
+    /// It has a version in force that this service never published.
+    pub ahead: bool,
+    /// Its counts when it told of them last, and under which version.
+    told: Option<(Counts, u64)>,
+    /// The highest version that it needs no offer of: it turned it down.
+    passed_over: u64,
+}
+
+/// All rollouts of a service.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    versions: BTreeMap<u64, Rolling>,
+    proxies: BTreeMap<String, Proxy>,
+    next_nonce: u64,
+    /// The highest number that any proxy has in force.
+    highest_seen: u64,
+}
+
+impl Rollout {
+    /// A service that starts with these versions stored. One that was on its way goes on from its first step.
+    pub fn recover(stored: impl IntoIterator<Item = (u64, Plan, State)>) -> Self {
+        let mut rollout = Rollout::default();
+        for (number, plan, state) in stored {
+            rollout.versions.insert(number, Rolling::new(plan, state));
+        }
+        rollout
+    }
+
+    /// The number for the next version: above all that were published here or are in force anywhere. Guards a service
+    /// that was restored from an older backup: its own next number would be refused everywhere.
+    pub fn next_number(&self) -> u64 {
+        self.newest().max(self.highest_seen) + 1
+    }
+
+    /// The newest version; 0: none.
+    pub fn newest(&self) -> u64 {
+        self.versions.keys().next_back().copied().unwrap_or(0)
+    }
+
+    /// What is known of the proxies, by name.
+    pub fn proxies(&self) -> &BTreeMap<String, Proxy> {
+        &self.proxies
+    }
+
+    /// The state of a version.
+    pub fn state(&self, number: u64) -> Option<State> {
+        self.versions.get(&number).map(|version| version.state)
+    }
+
+    /// The newest version before `number` that was offered to all; 0: none.
+    pub fn complete_before(&self, number: u64) -> u64 {
+        let complete = |(_, version): &(&u64, &Rolling)| version.state == State::Complete;
+        self.versions.range(..number).rev().find(complete).map_or(0, |(number, _)| *number)
+    }
+
+    /// Forgets versions below `number`, which the embedder no longer keeps.
+    pub fn forget_below(&mut self, number: u64) {
+        self.versions.retain(|known, _| *known >= number);
+    }
+
+    /// Takes one event.
+    pub fn handle(&mut self, now: f64, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Published { number, plan, rolls_back_to } => {
+                for (older, version) in self.versions.iter_mut().filter(|(_, it)| it.state == State::Rolling)
+                {
+                    version.state = State::Overtaken;
+                    out.push(Action::State { number: *older, state: State::Overtaken, why: String::new() });
+                }
+                // What brings back the old is for all at once: the proxies that suffer must not wait for a share.
+                let plan = if rolls_back_to > 0 { Plan::default() } else { plan };
+                self.versions.insert(number, Rolling::new(plan, State::Rolling));
+            }
+            Event::Hello { proxy, stream, in_force, known, build } => {
+                self.hello(now, proxy, stream, in_force, known, build);
+            }
+            Event::Left { proxy, stream } => {
+                if let Some(known) = self.proxies.get_mut(&proxy).filter(|it| it.stream == Some(stream)) {
+                    (known.stream, known.offered, known.told, known.heard) = (None, None, None, now);
+                }
+                self.forget_some();
+            }
+            Event::Answered { proxy, stream, nonce, refusal } => {
+                self.answered(now, &proxy, stream, nonce, refusal);
+            }
+            Event::Figures { proxy, stream, served, unserved, number } => {
+                self.figures(now, &proxy, stream, Counts { served, unserved }, number);
+            }
+            Event::Tick => {}
+        }
+        self.advance(now, &mut out);
+        self.offer(now, &mut out);
+        out
+    }
+
+    fn hello(
+        &mut self,
+        now: f64,
+        name: String,
+        stream: u64,
+        in_force: Option<Version>,
+        known: bool,
+        build: String,
+    ) {
+        let number = in_force.map_or(0, |version| version.number);
+        self.highest_seen = self.highest_seen.max(number);
+        let proxy = self.proxies.entry(name).or_default();
+        if proxy.in_force != number || proxy.stream.is_none() {
+            proxy.since = now;
+        }
+        // A restarted proxy may take what it turned down: only what it looked like then spoke against it.
+        *proxy = Proxy {
+            stream: Some(stream),
+            build,
+            in_force: number,
+            since: proxy.since,
+            heard: now,
+            ahead: number > 0 && !known,
+            refused: proxy.refused.take(),
+            ..Proxy::default()
+        };
+    }
+
+    fn answered(&mut self, now: f64, name: &str, stream: u64, nonce: u64, refusal: Option<Refusal>) {
+        let Some(proxy) = self.proxies.get_mut(name).filter(|it| it.stream == Some(stream)) else { return };
+        proxy.heard = now;
+        let Some((_, number, _)) = proxy.offered.filter(|(offered, ..)| *offered == nonce) else { return };
+        proxy.offered = None;
+        let Some(refusal) = refusal else {
+            (proxy.in_force, proxy.since, proxy.ahead) = (number, now, false);
+            return;
+        };
+        let of_content = code_of_content(&refusal.code);
+        // A change to a version that is not there is offered again as a whole; all else is settled.
+        if refusal.code == "wrong-base" {
+            proxy.in_force = 0;
+        } else {
+            proxy.passed_over = proxy.passed_over.max(number);
+        }
+        let reason = format!("{name}: {}", refusal.reason);
+        proxy.refused = Some((number, refusal));
+        if of_content {
+            if let Some(version) = self.versions.get_mut(&number) {
+                version.against.insert(name.to_owned(), reason);
+            }
+        }
+    }
+
+    fn figures(&mut self, now: f64, name: &str, stream: u64, counts: Counts, number: u64) {
+        let Some(proxy) = self.proxies.get_mut(name).filter(|it| it.stream == Some(stream)) else { return };
+        proxy.heard = now;
+        let before = proxy.told.replace((counts, number));
+        // Only what lies between two tellings under one version is that version's doing.
+        let Some((before, _)) = before.filter(|(_, under)| *under == number) else { return };
+        let grown = Counts {
+            served: counts.served.saturating_sub(before.served),
+            unserved: counts.unserved.saturating_sub(before.unserved),
+        };
+        for (rolling, version) in self.versions.iter_mut().filter(|(_, it)| it.state == State::Rolling) {
+            let side = if *rolling == number { &mut version.on } else { &mut version.off };
+            side.served += grown.served;
+            side.unserved += grown.unserved;
+        }
+    }
+
+    /// Moves the rollout under way on, or halts it.
+    fn advance(&mut self, now: f64, out: &mut Vec<Action>) {
+        let Some((&number, _)) = self.versions.iter().next_back() else { return };
+        let Some(mut version) = self.versions.remove(&number) else { return };
+        if version.state == State::Rolling {
+            self.advance_one(now, number, &mut version, out);
+        }
+        self.versions.insert(number, version);
+    }
+
+    fn advance_one(&mut self, now: f64, number: u64, version: &mut Rolling, out: &mut Vec<Action>) {
+        self.count_silent(now, number, version);
+        let allowed = version.plan.refusals.unwrap_or(1).max(1) as usize;
+        let why = if version.against.len() >= allowed {
+            version.against.values().next().cloned()
+        } else {
+            version.worse()
+        };
+        if let Some(why) = why {
+            version.state = State::Halted;
+            out.push(Action::State { number, state: State::Halted, why: why.clone() });
+            // Also where no proxy has it: one may have taken it and not have come to say so.
+            out.push(Action::RollBack { of: number, to: self.complete_before(number), why });
+            return;
+        }
+        loop {
+            match version.step {
+                Step::All => {
+                    version.state = State::Complete;
+                    out.push(Action::State { number, state: State::Complete, why: String::new() });
+                    return;
+                }
+                Step::First | Step::Share => {
+                    self.choose(number, version);
+                    if !self.held(now, number, version) {
+                        return;
+                    }
+                    version.step = if version.step == Step::First { Step::Share } else { Step::All };
+                }
+            }
+        }
+    }
+
+    /// Counts proxies against the version that were offered it, or took it, and are silent.
+    fn count_silent(&self, now: f64, number: u64, version: &mut Rolling) {
+        for (name, proxy) in &self.proxies {
+            let unanswered =
+                proxy.offered.is_some_and(|(_, offered, at)| offered == number && now - at >= ANSWER_WITHIN);
+            let lost = proxy.stream.is_none() && proxy.in_force == number && now - proxy.heard >= BACK_WITHIN;
+            let why = match (unanswered, lost) {
+                (true, _) => "does not answer",
+                (_, true) => "left after it took the version",
+                _ => continue,
+            };
+            version.against.entry(name.clone()).or_insert_with(|| format!("{name}: {why}"));
+        }
+    }
+
+    /// Fills the step's proxies up from those that are connected, by a lot that differs from version to version: not
+    /// always the same proxies go first.
+    fn choose(&self, number: u64, version: &mut Rolling) {
+        // Those that have it are of the step: a service that starts anew goes on with them.
+        let have = self.proxies.iter().filter(|(_, it)| it.in_force == number);
+        version.chosen.extend(have.map(|(name, _)| name.clone()));
+        let connected = |name: &str| self.proxies.get(name).is_some_and(|it| it.stream.is_some());
+        let all = self.proxies.iter().filter(|(_, it)| it.stream.is_some()).count();
+        let wanted = match version.step {
+            Step::First => version.plan.first as usize,
+            Step::Share => (version.plan.share * all as f64).ceil() as usize,
+            Step::All => 0,
+        };
+        let present = version.chosen.iter().filter(|name| connected(name)).count();
+        let lot = |name: &String| {
+            let mut hasher = DefaultHasher::new();
+            (number, name).hash(&mut hasher);
+            hasher.finish()
+        };
+        let fresh = |(name, it): &(&String, &Proxy)| it.stream.is_some() && !version.chosen.contains(*name);
+        let mut fresh: Vec<&String> = self.proxies.iter().filter(fresh).map(|(name, _)| name).collect();
+        fresh.sort_by_key(|name| lot(name));
+        let more: Vec<String> = fresh.into_iter().take(wanted.saturating_sub(present)).cloned().collect();
+        version.chosen.extend(more);
+    }
+
+    /// Whether the step has held: all its proxies that are connected have had the version in force for long enough.
+    fn held(&self, now: f64, number: u64, version: &Rolling) -> bool {
+        let skipped = match version.step {
+            Step::First => version.plan.first == 0,
+            Step::Share => version.plan.share <= 0.0,
+            Step::All => true,
+        };
+        let mut connected = version.chosen.iter().filter_map(|name| self.proxies.get(name));
+        let settled = |proxy: &Proxy| {
+            proxy.in_force == number && now - proxy.since >= version.plan.hold_ms as f64
+                || proxy.passed_over >= number
+        };
+        // A step of nobody proves nothing.
+        let somebody = version.chosen.iter().any(|name| self.proxies.contains_key(name));
+        skipped || somebody && connected.all(|proxy| proxy.stream.is_none() || settled(proxy))
+    }
+
+    /// The version that a proxy should have.
+    fn wanted(&self, name: &str) -> u64 {
+        let gets = |(_, version): &(&u64, &Rolling)| match version.state {
+            State::Complete => true,
+            State::Rolling => version.chosen.contains(name),
+            State::Halted | State::Overtaken => false,
+        };
+        self.versions.iter().rev().find(gets).map_or(0, |(number, _)| *number)
+    }
+
+    /// Offers each connected proxy what it should have, one offer at a time: only the newest matters to a slow one.
+    fn offer(&mut self, now: f64, out: &mut Vec<Action>) {
+        let due: Vec<(String, u64)> = self
+            .proxies
+            .iter()
+            .filter(|(_, proxy)| proxy.stream.is_some() && proxy.offered.is_none())
+            .map(|(name, proxy)| (name, proxy, self.wanted(name)))
+            // Never one that is not newer: what is to go back goes back under a new number.
+            .filter(|(_, proxy, wanted)| *wanted > proxy.in_force && *wanted > proxy.passed_over)
+            .map(|(name, _, wanted)| (name.clone(), wanted))
+            .collect();
+        for (name, number) in due {
+            let Some(proxy) = self.proxies.get_mut(&name) else { continue };
+            let Some(stream) = proxy.stream else { continue };
+            self.next_nonce += 1;
+            let nonce = self.next_nonce;
+            proxy.offered = Some((nonce, number, now));
+            let base = if proxy.ahead { 0 } else { proxy.in_force };
+            out.push(Action::Offer { proxy: name, stream, nonce, number, base });
+        }
+    }
+
+    /// Bounds what is remembered of proxies that do not come back.
+    fn forget_some(&mut self) {
+        let away = |proxies: &BTreeMap<String, Proxy>| {
+            let away = proxies.iter().filter(|(_, it)| it.stream.is_none());
+            let longest = away.clone().min_by(|a, b| a.1.heard.total_cmp(&b.1.heard));
+            (away.count() > REMEMBERED).then(|| longest.map(|(name, _)| name.clone())).flatten()
+        };
+        if let Some(name) = away(&self.proxies) {
+            self.proxies.remove(&name);
+        }
+    }
+}
+
+impl Rolling {
+    fn new(plan: Plan, state: State) -> Self {
+        Rolling {
+            plan,
+            state,
+            step: Step::First,
+            chosen: BTreeSet::new(),
+            against: BTreeMap::new(),
+            on: Counts::default(),
+            off: Counts::default(),
+        }
+    }
+
+    /// Whether the proxies on the version serve less than the others, by more than the plan allows and than chance.
+    fn worse(&self) -> Option<String> {
+        let least = self.plan.least_requests.unwrap_or(LEAST_REQUESTS).max(1);
+        if self.plan.worse_by <= 0.0 || self.on.all() < least || self.off.all() < least {
+            return None;
+        }
+        let by = self.on.share() - self.off.share();
+        let chance = ERRORS * (self.on.variance() + self.off.variance()).sqrt();
+        (by > self.plan.worse_by && by > chance).then(|| {
+            let percent = |share: f64| share * 100.0;
+            format!(
+                "{:.1}% of requests are not served on it, {:.1}% on the version before",
+                percent(self.on.share()),
+                percent(self.off.share())
+            )
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    struct Fleet {
+        rollout: Rollout,
+        now: f64,
+    }
+
+    fn name(number: u64) -> String {
+        format!("n{number}")
+    }
+
+    impl Fleet {
+        fn new(proxies: u64) -> Self {
+            let mut fleet = Fleet { rollout: Rollout::default(), now: 0.0 };
+            for proxy in 0..proxies {
+                fleet.hello(proxy, proxy, 0);
+            }
+            fleet
+        }
+
+        fn tell(&mut self, event: Event) -> Vec<Action> {
+            self.rollout.handle(self.now, event)
+        }
+
+        fn hello(&mut self, proxy: u64, stream: u64, number: u64) -> Vec<Action> {
+            let in_force = (number > 0).then(|| Version { number, digest: vec![1] });
+            let known = self.rollout.state(number).is_some();
+            self.tell(Event::Hello { proxy: name(proxy), stream, in_force, known, build: "b".into() })
+        }
+
+        fn publish(&mut self, number: u64, plan: Plan) -> Vec<Action> {
+            self.tell(Event::Published { number, plan, rolls_back_to: 0 })
+        }
+
+        /// Answers all offers among the actions, and those that follow.
+        fn answer(&mut self, actions: Vec<Action>, refusal: Option<&str>) -> Vec<Action> {
+            let mut rest = Vec::new();
+            let mut queue = std::collections::VecDeque::from(actions);
+            while let Some(action) = queue.pop_front() {
+                if let Action::Offer { proxy, stream, nonce, .. } = action {
+                    let refusal = refusal.map(|code| Refusal { code: code.into(), ..Refusal::default() });
+                    queue.extend(self.tell(Event::Answered { proxy, stream, nonce, refusal }));
+                } else {
+                    rest.push(action);
+                }
+            }
+            rest
+        }
+    }
+
+    fn offers(actions: &[Action], number: u64) -> usize {
+        let of = |it: &&Action| matches!(it, Action::Offer { number: offered, .. } if *offered == number);
+        actions.iter().filter(of).count()
+    }
+
+    fn staged() -> Plan {
+        Plan { first: 2, share: 0.5, hold_ms: 1_000, worse_by: 0.05, ..Plan::default() }
+    }
+
+    #[test]
+    fn a_version_goes_to_a_few_then_a_share_then_all_and_each_step_holds() {
+        let mut fleet = Fleet::new(10);
+        let first = fleet.publish(1, staged());
+        assert_eq!(offers(&first, 1), 2);
+        assert!(fleet.answer(first, None).is_empty());
+        fleet.now = 999.0;
+        assert!(fleet.tell(Event::Tick).is_empty(), "the step has not held yet");
+        fleet.now = 1_000.0;
+        let share = fleet.tell(Event::Tick);
+        assert_eq!(offers(&share, 1), 3, "half of ten, less those that have it");
+        fleet.answer(share, None);
+        fleet.now = 2_000.0;
+        let all = fleet.tell(Event::Tick);
+        assert_eq!(offers(&all, 1), 5);
+        assert_eq!(fleet.rollout.state(1), Some(State::Complete));
+        fleet.answer(all, None);
+        assert_eq!(offers(&fleet.hello(20, 20, 0), 1), 1, "a newcomer gets it at once");
+    }
+
+    #[test]
+    fn a_refusal_halts_and_brings_the_last_complete_version_back_under_a_new_number() {
+        let mut fleet = Fleet::new(10);
+        let all = fleet.publish(1, Plan::default());
+        fleet.answer(all, None);
+        let first = fleet.publish(2, staged());
+        let halted = fleet.answer(first, Some("no-usable-engine"));
+        assert!(halted.iter().any(|it| matches!(it, Action::RollBack { of: 2, to: 1, .. })), "{halted:?}");
+        assert_eq!(fleet.rollout.state(2), Some(State::Halted));
+        assert_eq!(offers(&fleet.tell(Event::Tick), 2), 0);
+        let back = fleet.tell(Event::Published { number: 3, plan: staged(), rolls_back_to: 1 });
+        assert_eq!(offers(&back, 3), 10, "at once to all");
+    }
+
+    #[test]
+    fn a_proxy_that_never_answers_and_one_that_leaves_with_the_version_count_against_it() {
+        for leaves in [false, true] {
+            let mut fleet = Fleet::new(4);
+            let first = fleet.publish(1, Plan { first: 1, ..staged() });
+            let [Action::Offer { proxy, stream, nonce, .. }] = &first[..] else { panic!("{first:?}") };
+            let (proxy, stream, nonce) = (proxy.clone(), *stream, *nonce);
+            if leaves {
+                fleet.tell(Event::Answered { proxy: proxy.clone(), stream, nonce, refusal: None });
+                fleet.tell(Event::Left { proxy, stream });
+            }
+            fleet.now = ANSWER_WITHIN.max(BACK_WITHIN);
+            assert!(
+                fleet.tell(Event::Tick).iter().any(|it| matches!(it, Action::RollBack { of: 1, to: 0, .. }))
+            );
+        }
+    }
+
+    #[test]
+    fn figures_that_worsen_halt_and_chance_does_not() {
+        for (unserved, halts) in [(300, true), (60, false)] {
+            let mut fleet = Fleet::new(10);
+            let first = fleet.publish(1, staged());
+            fleet.answer(first, None);
+            let told = |fleet: &mut Fleet, served, unserved: u64| {
+                let mut seen = Vec::new();
+                for proxy in 0..10 {
+                    let on = fleet.rollout.proxies()[&name(proxy)].in_force;
+                    let unserved = if on == 1 { unserved } else { served / 20 };
+                    let (proxy, stream, number) = (name(proxy), proxy, on);
+                    seen.extend(fleet.tell(Event::Figures { proxy, stream, served, unserved, number }));
+                }
+                seen
+            };
+            told(&mut fleet, 0, 0);
+            let seen = told(&mut fleet, 1_000, unserved);
+            let halted = seen.iter().any(|it| matches!(it, Action::RollBack { of: 1, .. }));
+            assert_eq!(halted, halts, "{unserved} of 1,000 not served");
+        }
+    }
+
+    #[test]
+    fn a_service_from_an_older_backup_offers_nothing_lower_and_numbers_above_what_it_meets() {
+        let mut fleet = Fleet::new(0);
+        fleet.publish(3, Plan::default());
+        assert_eq!(offers(&fleet.hello(0, 0, 7), 3), 0);
+        assert!(fleet.rollout.proxies()["n0"].ahead);
+        assert_eq!(fleet.rollout.next_number(), 8);
+        let next = fleet.publish(8, Plan::default());
+        assert!(matches!(&next[..], [_, Action::Offer { number: 8, base: 0, .. }]), "{next:?}");
+    }
+
+    #[test]
+    fn a_slow_proxy_is_offered_only_the_newest_once_it_answers() {
+        let mut fleet = Fleet::new(1);
+        let first = fleet.publish(1, Plan::default());
+        assert_eq!(offers(&first, 1), 1);
+        for number in 2..6 {
+            assert_eq!(offers(&fleet.publish(number, Plan::default()), number), 0);
+        }
+        let mut left = fleet.answer(first, None);
+        left.retain(|it| matches!(it, Action::Offer { .. }));
+        assert_eq!(fleet.rollout.proxies()["n0"].in_force, 5);
+    }
+}
--- /dev/null
+++ b/crates/config/src/text.rs
@@ -0,0 +1,57 @@
+//! Documents as people write them: protobuf text format.
+
+use std::sync::OnceLock;
+
+use prost::Message as _;
+use prost_reflect::text_format::FormatOptions;
+use prost_reflect::{DescriptorPool, DynamicMessage, MessageDescriptor};
+
+use crate::{Document, Refusal};
+
+static SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/schema.bin"));
+
+/// The schema's entry of the document. It is compiled in; that it can be read is tested.
+fn descriptor() -> Result<MessageDescriptor, Refusal> {
+    static POOL: OnceLock<Option<DescriptorPool>> = OnceLock::new();
+    let pool = POOL.get_or_init(|| DescriptorPool::decode(SCHEMA).ok());
+    pool.as_ref()
+        .and_then(|pool| pool.get_message_by_name("gaugestep.config.v1.Document"))
+        .ok_or_else(|| Refusal::Unreadable("this build's schema cannot be read".into()))
+}
+
+/// Reads a document. Fields that the schema does not have are errors, with their place.
+pub fn parse(text: &str) -> Result<Document, Refusal> {
+    let dynamic = DynamicMessage::parse_text_format(descriptor()?, text)
+        .map_err(|error| Refusal::Unreadable(error.to_string()))?;
+    Document::decode(dynamic.encode_to_vec().as_slice())
+        .map_err(|error| Refusal::Unreadable(error.to_string()))
+}
+
+/// Writes a document so that [`parse`] reads the same.
+pub fn print(document: &Document) -> Result<String, Refusal> {
+    let dynamic = DynamicMessage::decode(descriptor()?, document.encode_to_vec().as_slice())
+        .map_err(|error| Refusal::Unreadable(error.to_string()))?;
+    Ok(dynamic.to_text_format_with_options(&FormatOptions::new().pretty(true)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_unknown_field_is_refused_with_its_place() {
+        let refusal = parse("routes { name: \"a\"\n  colour: 3 }").unwrap_err();
+        assert_eq!(refusal.code(), "unreadable");
+        assert!(refusal.to_string().contains("colour"), "{refusal}");
+    }
+
+    #[test]
+    fn a_printed_document_reads_the_same() {
+        let text = r#"routes { name: "n" classes: "report" targets { zone: "east" weight: 2.5 } otherwise: ANY }
+            tenants { name: "acme" quota_per_s: 40 } limits { max_open: 300 } retries { ratio: 0.1 }
+            logging { level: DEBUG parts { name: "gaugestep::net" level: WARN } } classes: "report""#;
+        let document = parse(text).unwrap();
+        assert_eq!(document.routes[0].targets[0].weight, Some(2.5));
+        assert_eq!(parse(&print(&document).unwrap()).unwrap(), document);
+    }
+}
--- /dev/null
+++ b/crates/config/tests/ledger.rs
@@ -0,0 +1,293 @@
+//! The ledger under random interleavings: what is in force was always checked whole, every offer gets exactly one
+//! answer, versions never fall, and what was acknowledged survives a crash at any point.
+
+use std::collections::BTreeMap;
+
+use gaugestep_config::ledger::{Action, Event, Ledger, OfferId, Taken};
+use gaugestep_config::live::{Class, Engine, Live, Platform, State};
+use gaugestep_config::schema::offer::Content;
+use gaugestep_config::schema::{Limits, Offer, Route, Target, target::Which};
+use gaugestep_config::{Document, Refusal, check, delta, live, version};
+use proptest::prelude::*;
+
+fn engine(name: &str, state: State) -> Engine {
+    Engine { name: name.into(), kind: "k".into(), zone: "z".into(), cell: 0, state }
+}
+
+fn live(draining: bool, open: u64) -> Live {
+    let state = if draining { State::Draining } else { State::Up };
+    Live {
+        engines: Some(vec![engine("s-0", State::Up), engine("s-1", state)]),
+        classes: vec![Class { name: "load".into(), open }],
+        open,
+        platform: Platform { tenants: vec![], max_open: 1_000, max_attempts: 4, retries: None },
+    }
+}
+
+/// A document that names an engine; not all are sound, and not all are at all times.
+fn document(which: u8, number: u64) -> Document {
+    let target = |name: &str| Target { which: Some(Which::Engine(name.into())), weight: Some(1.0) };
+    let route = |name: &str, targets| Route { name: name.into(), targets, ..Route::default() };
+    let limits = Some(Limits { max_open: Some(100 + number as u32), max_attempts: None });
+    let routes = match which % 4 {
+        0 => vec![],
+        1 => vec![route("r", vec![target("s-0")])],
+        2 => vec![route("r", vec![target("s-1")])],
+        _ => vec![route("r", vec![])],
+    };
+    Document { routes, limits, ..Document::default() }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer {
+        ahead: u64,
+        which: u8,
+        form: u8,
+    },
+    EndStore {
+        fails: bool,
+    },
+    Drain(bool),
+    Open(u64),
+    Retune,
+    Reconnect,
+    /// The process ends; the store operation under way may have been done by then.
+    Crash {
+        stored: bool,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0u64..4, any::<u8>(), 0u8..6).prop_map(|(ahead, which, form)| Step::Offer { ahead, which, form }),
+        6 => prop::bool::weighted(0.15).prop_map(|fails| Step::EndStore { fails }),
+        2 => any::<bool>().prop_map(Step::Drain),
+        1 => (0u64..200).prop_map(Step::Open),
+        1 => Just(Step::Retune),
+        1 => Just(Step::Reconnect),
+        1 => any::<bool>().prop_map(|stored| Step::Crash { stored }),
+    ]
+}
+
+/// The embedder, its store and the checks.
+struct World {
+    ledger: Ledger,
+    live: Live,
+    stream: u64,
+    nonce: u64,
+    number: u64,
+    /// Documents by number, as they were offered.
+    offered: BTreeMap<u64, Vec<Document>>,
+    answers: BTreeMap<OfferId, u32>,
+    /// The store: staged, what a start finds, and what was there before.
+    staged: Option<(u64, Vec<u8>)>,
+    current: Option<Vec<u8>>,
+    previous: Option<Vec<u8>>,
+    /// Store operations under way, in order.
+    storing: Vec<Action>,
+    applied: Document,
+    acknowledged: u64,
+}
+
+impl World {
+    fn tell(&mut self, event: Event) {
+        let was = self.ledger.in_force().map(|it| it.document.clone()).unwrap_or_default();
+        let actions = self.ledger.handle(0.0, event, &self.live);
+        for action in actions {
+            match action {
+                Action::Apply(document) => {
+                    let sound =
+                        check::check(&document).is_empty() && live::check(&document, &self.live).is_empty();
+                    let known = self.offered.values().flatten().any(|it| *it == *document);
+                    // A document that was in force, or none at all, may come back as it was.
+                    let again = *document == was || *document == Document::default() || {
+                        let taken = self.current.as_ref().map(|bytes| Taken::decode(bytes).unwrap());
+                        taken.is_some_and(|taken| taken.document == *document)
+                    };
+                    assert!(sound && known || again, "in force without a check: {document:?}");
+                    self.applied = *document;
+                }
+                Action::Answer(id, number, refusal) => {
+                    *self.answers.entry(id).or_default() += 1;
+                    if refusal.is_none() {
+                        let current = Taken::decode(self.current.as_ref().unwrap()).unwrap();
+                        assert_eq!(
+                            current.version.number, number,
+                            "acknowledged, and a start would not find it"
+                        );
+                        assert!(number >= self.acknowledged, "versions never fall");
+                        self.acknowledged = number;
+                    }
+                }
+                store => self.storing.push(store),
+            }
+        }
+        let in_force = self.ledger.in_force().map(|it| it.document.clone()).unwrap_or_default();
+        assert_eq!(in_force, self.applied, "half applied");
+    }
+
+    fn end_store(&mut self, fails: bool) {
+        if self.storing.is_empty() {
+            return;
+        }
+        let end = if fails { Err("disk full".to_owned()) } else { Ok(()) };
+        match self.storing.remove(0) {
+            Action::Stage(number, bytes) => {
+                if !fails {
+                    self.staged = Some((number, bytes));
+                }
+                self.tell(Event::Staged(number, end));
+            }
+            Action::Commit(number) => {
+                if !fails {
+                    let (staged, bytes) = self.staged.take().expect("something is staged");
+                    assert_eq!(staged, number);
+                    self.previous = self.current.replace(bytes);
+                }
+                self.tell(Event::Committed(number, end));
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn offer(&mut self, ahead: u64, which: u8, form: u8) {
+        let number = if form == 5 { self.number.saturating_sub(ahead) } else { self.number + ahead };
+        self.number = self.number.max(number);
+        let document = document(which, number);
+        self.offered.entry(number).or_default().push(document.clone());
+        self.nonce += 1;
+        let mut told = version(number, &document);
+        let in_force = self.ledger.in_force();
+        let base = in_force.map_or(0, |taken| taken.version.number);
+        let old = in_force.map(|taken| taken.document.clone()).unwrap_or_default();
+        let content = match form {
+            0 => Content::Delta(delta::between(base, &old, &document)),
+            1 => Content::Delta(delta::between(base + 1, &old, &document)),
+            _ => Content::Snapshot(document),
+        };
+        if form == 2 {
+            told.digest[0] ^= 1;
+        }
+        let content = (form != 3 || which % 3 > 0).then_some(content);
+        let id = OfferId { stream: self.stream, nonce: self.nonce };
+        self.answers.insert(id, 0);
+        let (version, nonce) = (Some(told), self.nonce);
+        let offer = Offer { version, nonce, content, rolls_back_to: 0 };
+        self.tell(Event::Offered(self.stream, Box::new(offer)));
+    }
+
+    fn reconnect(&mut self) {
+        self.tell(Event::StreamEnded(self.stream));
+        let ended = self.stream;
+        self.answers.retain(|id, answers| id.stream != ended || *answers > 0);
+        self.stream += 1;
+    }
+
+    fn crash(&mut self, stored: bool) {
+        if let (true, Some(Action::Commit(_)), Some((_, bytes))) =
+            (stored, self.storing.first(), &self.staged)
+        {
+            self.previous = self.current.replace(bytes.clone());
+        }
+        self.storing.clear();
+        self.staged = None;
+        let kept: Vec<Result<Vec<u8>, String>> =
+            [&self.current, &self.previous].into_iter().flatten().map(|bytes| Ok(bytes.clone())).collect();
+        // The list has not come yet when a proxy starts, and nothing is open.
+        let start = Live { engines: None, ..live(false, 0) };
+        let (ledger, refused) = Ledger::recover(0.0, kept, &start);
+        assert!(refused.is_empty(), "{refused:?}");
+        let found = ledger.in_force().map_or(0, |taken| taken.version.number);
+        assert!(
+            found >= self.acknowledged,
+            "what was acknowledged is what a start finds, or what came behind it"
+        );
+        self.acknowledged = found;
+        self.applied = ledger.in_force().map(|it| it.document.clone()).unwrap_or_default();
+        self.ledger = ledger;
+        self.answers.retain(|_, answers| *answers > 0);
+        self.stream += 1;
+        self.live = live(false, 0);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn whatever_comes_in_whatever_order_the_ledger_keeps_its_word(steps in prop::collection::vec(step(), 1..60)) {
+        let mut world = World {
+            ledger: Ledger::new(),
+            live: live(false, 0),
+            stream: 0,
+            nonce: 0,
+            number: 1,
+            offered: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            staged: None,
+            current: None,
+            previous: None,
+            storing: Vec::new(),
+            applied: Document::default(),
+            acknowledged: 0,
+        };
+        for step in steps {
+            match step {
+                Step::Offer { ahead, which, form } => world.offer(ahead, which, form),
+                Step::EndStore { fails } => world.end_store(fails),
+                Step::Drain(draining) => world.live = live(draining, world.live.open),
+                Step::Open(open) => {
+                    let draining = world.live.engines.as_ref().is_some_and(|it| it[1].state == State::Draining);
+                    world.live = live(draining, open);
+                }
+                Step::Retune => world.tell(Event::PlatformChanged),
+                Step::Reconnect => world.reconnect(),
+                Step::Crash { stored } => world.crash(stored),
+            }
+            prop_assert!(world.storing.len() <= 1, "one store operation at a time");
+        }
+        while !world.storing.is_empty() {
+            world.end_store(false);
+        }
+        for (id, answers) in &world.answers {
+            prop_assert_eq!(*answers, 1, "{:?}", id);
+        }
+    }
+}
+
+/// A proxy whose last good version is spoilt starts on the one before, and says why.
+#[test]
+fn a_spoilt_last_good_leaves_the_one_before() {
+    let document = document(1, 4);
+    let good = Taken { version: version(4, &document), document };
+    let whole = good.encode();
+    for cut in 0..whole.len() {
+        let stored = [Ok(whole[..cut].to_vec()), Ok(whole.clone())];
+        let (ledger, refused) = Ledger::recover(0.0, stored, &live(false, 0));
+        assert_eq!(ledger.in_force(), Some(&good), "cut at byte {cut}");
+        assert_eq!(refused.len(), 1);
+    }
+    let (ledger, refused) = Ledger::recover(0.0, [Ok(vec![0xff; 9]), Err("gone".into())], &live(false, 0));
+    assert!(ledger.in_force().is_none());
+    assert_eq!(refused.iter().map(|(_, refusal)| refusal.code()).collect::<Vec<_>>(), ["unreadable"; 2]);
+}
+
+/// The drain notice that comes between the first check and the taking.
+#[test]
+fn an_engine_that_drains_while_the_version_is_stored_has_it_refused() {
+    let mut ledger = Ledger::new();
+    let document = document(2, 1);
+    let offer = Offer {
+        version: Some(version(1, &document)),
+        nonce: 1,
+        content: Some(Content::Snapshot(document)),
+        rolls_back_to: 0,
+    };
+    let begun = ledger.handle(0.0, Event::Offered(0, Box::new(offer)), &live(false, 0));
+    assert!(matches!(begun[..], [Action::Stage(1, _)]), "{begun:?}");
+    let ended = ledger.handle(1.0, Event::Staged(1, Ok(())), &live(true, 0));
+    let [Action::Answer(_, 1, Some(refusal))] = &ended[..] else { panic!("{ended:?}") };
+    assert!(matches!(refusal, Refusal::NoUsableEngine { draining, .. } if draining == &["s-1"]), "{refusal}");
+    assert!(ledger.in_force().is_none());
+}
