Keep each of many proxies to a few engines, and take cold engines for less crowded

Causes, followed through `place`: (1) an engine of which nothing was heard counts as crowded as the fleet's mean (`others`), also while it is cold and has a third of its capacity: its load is three times the mean, so it has no room while warm ones fill up. (2) Each of 300 proxies draws from all 80 engines, so it meets a cold engine 0.4 times in a window of its budget, and opens a connection to nearly every engine: 22,247 for 52,254 requests. Ruled out: engines left alone after Full (248 in 273 logs).

Routes can bind requests to engines by weight; without any nothing changes.

Four tests of the module; two of them checked to fail without their mend.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! Times are milliseconds on one clock of the embedder's choosing that never goes backwards.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
@@ -141,6 +142,17 @@
     pub span: Millis,
 }
 
+/// Where requests of some classes and tenants may go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The classes that it holds for; all, if none are named.
+    pub classes: Option<Vec<ClassId>>,
+    /// The tenants that it holds for; all, if none are named.
+    pub tenants: Option<Vec<TenantId>>,
+    /// The engines, with their part against each other; any engine, if none are named.
+    pub engines: Option<BTreeMap<EngineId, f64>>,
+}
+
 /// Everything a dispatcher is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -182,9 +194,23 @@
     pub budget: Option<AttemptBudget>,
     /// The longest wait before a retry that clients honour; 0 if they are not told.
     pub max_retry_after: Millis,
+    /// Where requests may go: the first route that holds for one decides; without any, all engines are alike.
+    pub routes: Vec<Route>,
 }
 
 impl Settings {
+    /// An engine's part in serving the request, against other engines; 0 if it may not serve it.
+    pub fn weight(&self, new: &NewRequest, engine: EngineId) -> f64 {
+        let holds = |route: &&Route| {
+            route.classes.as_ref().is_none_or(|classes| classes.contains(&new.class))
+                && route.tenants.as_ref().is_none_or(|tenants| tenants.contains(&new.tenant))
+        };
+        match self.routes.iter().find(holds).and_then(|route| route.engines.as_ref()) {
+            Some(engines) => engines.get(&engine).copied().unwrap_or(0.0),
+            None => 1.0,
+        }
+    }
+
     /// Whether they can be used; the error names the field at fault.
     pub fn validate(&self) -> Result<(), SettingsError> {
         let settings = self;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,10 +54,12 @@
 const SCATTER: f64 = 0.15;
 /// Weight of the price of crossing zones in a placement score.
 const CROSSING: f64 = 4.0;
-/// Dispatchers above which a placement compares not all engines but so many heard of last and at random.
+/// Dispatchers above which a placement compares not all engines but so many heard of last and at random, and
+/// the engines drawn from: over the whole fleet handshakes are paid for and connections scarce.
 const WIDE: usize = 4;
 const HEARD: usize = 3;
 const AT_RANDOM: usize = 2;
+const SUBSET: usize = 16;
 /// ms after which a report of an engine's load tells little: about the run of a heavy query.
 const REPORT_TRUST: Millis = 2_000.0;
 /// Share of what is known of the usual query that each end replaces: some 50 ends tell the mix.
@@ -119,8 +121,10 @@
 struct Engine {
     entry: EngineEntry,
     cold_since: Option<Millis>,
-    /// This window's end, its random lot from 0 to 1, and the work sent in it, while cold.
-    lot: (Millis, f64, f64),
+    /// The work that may be sent while it is cold, and as of when.
+    spare: (f64, Millis),
+    /// Its place by lot in this dispatcher's choice among many.
+    place: f64,
     /// Mean log of run times over what their classes usually take.
     slowness: Mean,
     /// Queries held for other dispatchers, as reported.
@@ -150,8 +154,9 @@
     density: Mean,
     /// What queries in flight take up, weighted by their time there.
     usual: Held,
-    /// The engines that reported last.
+    /// The engines that reported last, and those drawn from, until they are chosen anew.
     heard: VecDeque<EngineId>,
+    own: (Vec<EngineId>, Millis),
     /// Other dispatchers' queries for each core, and the blame of an engine, on the fleet's average.
     crowd: f64,
     blame: f64,
@@ -181,6 +186,7 @@
             density: Mean::default(),
             usual: Held::default(),
             heard: VecDeque::new(),
+            own: (Vec::new(), 0.0),
             crowd: 0.0,
             blame: 0.0,
             wakes_at: f64::INFINITY,
@@ -727,11 +733,9 @@
 
     /// Books on each engine what this dispatcher has out there, and what reports tell of the whole fleet.
     fn book_held(&mut self) {
-        for engine in self.engines.values_mut() {
-            engine.held = Held::default();
-            if self.now >= engine.lot.0 {
-                engine.lot = (self.now + self.settings.cold.span, self.random.rand_float(), 0.0);
-            }
+        self.engines.values_mut().for_each(|engine| engine.held = Held::default());
+        if self.now >= self.own.1 {
+            self.own = (self.own(|_| true), self.now + BAR_FIRST);
         }
         for request in self.requests.values() {
             let held = self.needs(&request.new);
@@ -758,7 +762,7 @@
 
     /// Queries of other dispatchers on an engine: its reports, drawn to the fleet's mean as they grow old.
     fn others(&self, engine: &Engine) -> f64 {
-        let mean = self.crowd * self.machine(engine).cores;
+        let mean = self.crowd * self.machine(engine).cores * self.warmth(engine);
         (mean + (engine.others.value - mean) * self.news(engine)).max(0.0)
     }
 
@@ -773,7 +777,7 @@
 
     /// The engine with the least load for its speed among the candidates, if any has room.
     fn place(&mut self, id: &RequestId, priority: u8) -> Option<EngineId> {
-        let candidates = self.candidates();
+        let candidates = self.candidates(id);
         let request = self.requests.get(id)?;
         let needs = self.needs(&request.new);
         let room = THREADS_PER_CORE * (1.0 + URGENT_ROOM * f64::from(priority));
@@ -784,7 +788,7 @@
         let taken: Vec<EngineId> = loads.flat_map(Request::live).map(|(_, at)| at.engine).collect();
         // Other dispatchers' queries are taken to be like one's own.
         let alike = if self.usual.queries > 0.0 { self.usual } else { needs };
-        let mut best: Option<(f64, EngineId)> = None;
+        let mut fit = Vec::new();
         for (engine_id, scatter) in candidates {
             let Some(engine) = self.engines.get(&engine_id) else { continue };
             let here = engine.held;
@@ -792,7 +796,7 @@
             let trial = engine.strikes < STRIKES_OUT || here.queries == 0.0;
             let tried = request.attempts.iter().any(|attempt| attempt.engine == engine_id);
             let open = trial && !tried && self.healthy(engine) && !taken.contains(&engine_id);
-            if !open || !self.permitted(request, engine) || !self.cold_room(engine, request.new.class) {
+            if !open || !self.permitted(request, engine) {
                 continue;
             }
             let machine = self.machine(engine);
@@ -810,26 +814,41 @@
             }
             let crosses = engine.entry.zone != self.settings.zone;
             let price = if crosses { CROSSING * self.settings.cross_zone_price } else { 0.0 };
-            let score = load * (1.0 + price) * scatter;
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, engine_id));
-            }
+            let weight = self.settings.weight(&request.new, engine_id);
+            fit.push((load * (1.0 + price) * scatter / weight, engine_id));
         }
-        best.map(|(_, engine)| engine)
+        fit.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let class = request.new.class;
+        fit.into_iter().map(|(_, engine)| engine).find(|engine| self.cold_room(*engine, class))
     }
 
     /// The engines compared for one placement, with the random part of their scores: all, where dispatchers
     /// are few; else some heard of last and some at random, as the least by old reports would draw all.
-    fn candidates(&mut self) -> Vec<(EngineId, f64)> {
+    fn candidates(&mut self, id: &RequestId) -> Vec<(EngineId, f64)> {
         let mut chosen: Vec<EngineId> = self.engines.keys().copied().collect();
         if self.settings.dispatchers > WIDE && chosen.len() > HEARD + AT_RANDOM {
-            let mut any = || chosen[self.random.rand_range(0..chosen.len() as u64) as usize];
-            chosen = (0..AT_RANDOM).map(|_| any()).chain(self.heard.iter().copied()).collect();
+            let Some(request) = self.requests.get(id) else { return Vec::new() };
+            let class = &self.settings.classes[request.new.class.0];
+            let bound = class.zones.is_some() || class.machines.is_some() || !self.settings.routes.is_empty();
+            let fit = (bound || !request.attempts.is_empty())
+                .then(|| self.own(|engine| self.permitted(request, engine)));
+            let own = fit.as_ref().unwrap_or(&self.own.0);
+            let mut any = || own[self.random.rand_range(0..own.len() as u64) as usize];
+            let drawn = if own.is_empty() { 0 } else { AT_RANDOM };
+            chosen = (0..drawn).map(|_| any()).chain(self.heard.iter().copied()).collect();
         }
         chosen.into_iter().map(|engine| (engine, 1.0 + SCATTER * self.random.rand_float())).collect()
     }
 
-    /// Whether class and effect allow this engine (placement rule, repeats of keyed requests).
+    /// The engines that this dispatcher draws from, of those that fit.
+    fn own(&self, fit: impl Fn(&Engine) -> bool) -> Vec<EngineId> {
+        let fit = self.engines.values().filter(|engine| self.healthy(engine) && fit(engine));
+        let mut own: Vec<(f64, EngineId)> = fit.map(|engine| (engine.place, engine.entry.engine)).collect();
+        own.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        own.into_iter().take(SUBSET).map(|(_, engine)| engine).collect()
+    }
+
+    /// Whether class, route and effect allow this engine (placement rule, repeats of keyed requests).
     fn permitted(&self, request: &Request, engine: &Engine) -> bool {
         let told = &self.settings.classes[request.new.class.0];
         let entry = &engine.entry;
@@ -848,7 +867,7 @@
                 known || attempt.ended.is_some_and(Outcome::never_ran)
             }),
         };
-        zone && machine && effect
+        zone && machine && effect && self.settings.weight(&request.new, entry.engine) > 0.0
     }
 
     fn send(&mut self, id: &RequestId, engine_id: EngineId, priority: u8, out: &mut Vec<Action>) {
@@ -862,7 +881,7 @@
         request.attempts.push(attempt);
         if let Some(engine) = self.engines.get_mut(&engine_id) {
             engine.held.add(needs, 1.0);
-            engine.lot.2 += if engine.cold_since.is_some() { work } else { 0.0 };
+            engine.spare.0 = (engine.spare.0 - work).max(0.0);
         }
         if self.settings.grants || self.settings.priorities {
             let memory_mb = if self.settings.grants { needs.memory } else { 0.0 };
@@ -888,7 +907,8 @@
         for entry in entries {
             // An engine that turns up later has just started, whatever the list says of it.
             let fresh = (!whole).then_some(self.now);
-            let new = |cold_since| Engine { entry, cold_since, lot: (0.0, 1.0, 0.0), ..Engine::default() };
+            let (spare, place) = ((f64::MAX, self.now), self.random.rand_float());
+            let new = |cold_since| Engine { entry, cold_since, spare, place, ..Engine::default() };
             let engine = self.engines.entry(entry.engine).or_insert_with(|| new(entry.started.or(fresh)));
             if entry.started.is_some() && entry.started != engine.entry.started {
                 *engine = new(entry.started);
@@ -896,6 +916,7 @@
             engine.entry = entry;
         }
         self.engines.retain(|_, engine| engine.entry.readiness != Readiness::Gone);
+        self.own.1 = self.now;
     }
 
     fn reported(&mut self, engine: EngineId, load: Option<LoadReport>) {
@@ -940,17 +961,27 @@
         (cold.share + (1.0 - cold.share) * age / cold.warm_within).clamp(0.05, 1.0)
     }
 
-    /// Whether a cold engine can take one more request of the class within this dispatcher's part of what all
-    /// may send it in a window. Where that is less than one request, a lot lets one through as often as fits.
-    fn cold_room(&self, engine: &Engine, class: ClassId) -> bool {
+    /// Whether a cold engine can take one more request of the class within this dispatcher's part of what it
+    /// may be sent, which gathers with time. Where no window's part is worth one request, a lot that takes in
+    /// all that has gathered lets one through as often as fits, however often it is drawn.
+    fn cold_room(&mut self, engine_id: EngineId, class: ClassId) -> bool {
+        let work = self.usual_work(class);
+        let Some(engine) = self.engines.get(&engine_id) else { return false };
         let (warmth, cold) = (self.warmth(engine), &self.settings.cold);
         if warmth >= 1.0 || cold.multiple <= 0.0 {
             return true;
         }
         let capacity = self.machine(engine).cores * cold.share.max(warmth * 0.5);
-        let part = COLD_PART * cold.multiple * capacity * cold.span / self.settings.dispatchers as f64;
-        let ((_, lot, sent), work) = (engine.lot, self.usual_work(class));
-        sent + work <= part || (sent == 0.0 && work * lot <= part)
+        let all = self.settings.dispatchers as f64;
+        let wide = all > WIDE as f64 && self.engines.len() > SUBSET;
+        let sharing = if wide { all * SUBSET as f64 / self.engines.len() as f64 } else { all };
+        let rate = COLD_PART * cold.multiple * capacity / sharing;
+        let spare = (engine.spare.0 + rate * (self.now - engine.spare.1)).min(rate * cold.span);
+        let by_lot = work > rate * cold.span;
+        let taken = work <= spare || by_lot && work * self.random.rand_float() <= spare;
+        let spare = if by_lot && !taken { 0.0 } else { spare };
+        self.engines.entry(engine_id).and_modify(|engine| engine.spare = (spare, self.now));
+        taken
     }
 
     /// The work of a usual request of the class; only estimates that run low are corrected.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -467,6 +467,7 @@
             true => real(limits, "max_retry_after_ms", 0.0)?,
             false => 0.0,
         },
+        routes: Vec::new(),
     })
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
         order_pause: 500.0,
         budget: None,
         max_retry_after: 500.0,
+        routes: vec![],
     }
 }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -617,3 +617,77 @@
     }
     assert!(served(&mut desk, 50, 0.0, 50.0), "found quick again");
 }
+
+/// Handshakes and connections are paid for over the whole fleet: one of hundreds of dispatchers keeps to a few engines,
+/// and all of them together still use each.
+#[test]
+fn one_of_many_dispatchers_keeps_to_a_few_engines_and_all_together_use_each() {
+    let mut settings = settings(vec![class(Effect::Safe, 1.0)]);
+    settings.dispatchers = 100;
+    let mut fleet = [0; 80];
+    for seed in 0..100 {
+        let mut desk = Desk { dispatcher: Dispatcher::new(settings.clone(), seed).unwrap(), now: 0.0 };
+        desk.tell(Event::EngineList((0..80).map(entry).collect()));
+        let mut own = std::collections::BTreeSet::new();
+        for number in 0..120 {
+            let engine = sends(&desk.arrive(request(number, 0, desk.now + 60_000.0)))[0];
+            desk.now += 50.0;
+            desk.end(number, 0, engine, Outcome::Served, 50.0);
+            own.insert(engine);
+            fleet[engine.0 as usize] += 1;
+        }
+        assert!(own.len() <= 20, "{} engines", own.len());
+    }
+    let (least, most) = (fleet.iter().min().unwrap(), fleet.iter().max().unwrap());
+    assert!(*least > 40 && *most < 400, "150 each on average: {least} to {most}");
+}
+
+/// Engines of its own choice that fail are made up for by others.
+#[test]
+fn a_dispatcher_whose_engines_go_chooses_others() {
+    let mut settings = settings(vec![class(Effect::Safe, 1.0)]);
+    settings.dispatchers = 100;
+    let mut desk = Desk::new(settings, 40);
+    for left in (4..40).rev() {
+        desk.tell(Event::EngineChanges(vec![EngineEntry { readiness: Readiness::Gone, ..entry(left) }]));
+        let sent = sends(&desk.arrive(request(left, 0, desk.now + 60_000.0)));
+        assert!(sent[0].0 < left, "{sent:?}");
+        desk.end(left, 0, sent[0], Outcome::Served, 1.0);
+    }
+}
+
+/// The successors of a release: nothing is heard of a cold engine yet, and it must not be taken to be as crowded as the
+/// warm ones are, or it stands idle beside them.
+#[test]
+fn a_cold_engine_without_news_is_not_taken_to_be_as_crowded_as_warm_ones() {
+    let mut settings = settings(vec![class(Effect::Safe, 1.0)]);
+    settings.dispatchers = 4;
+    let mut desk = Desk::new(settings, 3);
+    desk.now = 100_000.0;
+    let held = |held| Some(LoadReport { held: Some(held), ..LoadReport::default() });
+    desk.tell(Event::EngineChanges(vec![EngineEntry { started: Some(99_000.0), ..entry(9) }]));
+    for engine in 0..3 {
+        // 1.3 threads a core are the most for an unurgent query: the warm ones are full.
+        desk.tell(Event::Probed(EngineId(engine), Outcome::Served, held(17.0)));
+    }
+    assert_eq!(sends(&desk.arrive(request(1, 0, desk.now + 60_000.0))), [EngineId(9)]);
+}
+
+/// A route's engines alone, in the ratio of their weights; what has no route goes anywhere.
+#[test]
+fn routes_bind_requests_to_engines_by_weight() {
+    let mut settings = settings(vec![class(Effect::Safe, 1.0), class(Effect::Safe, 1.0)]);
+    let engines = Some([(EngineId(1), 1.0), (EngineId(2), 3.0)].into());
+    settings.routes = vec![Route { classes: Some(vec![ClassId(0)]), tenants: None, engines }];
+    for dispatchers in [1, 100] {
+        settings.dispatchers = dispatchers;
+        let mut desk = Desk::new(settings.clone(), 30);
+        let sent: Vec<u32> =
+            (0..8).map(|number| sends(&desk.arrive(request(number, 0, desk.now + 60_000.0)))[0].0).collect();
+        assert!(sent.iter().all(|engine| [1, 2].contains(engine)), "{sent:?}");
+        let heavy = sent.iter().filter(|engine| **engine == 2).count();
+        assert!(dispatchers > 1 || heavy == 6, "{sent:?}");
+        let free = sends(&desk.arrive(request(100, 1, desk.now + 60_000.0)));
+        assert!(![1, 2].contains(&free[0].0), "{free:?}");
+    }
+}
