--- a/crates/coio/src/task.rs
+++ b/crates/coio/src/task.rs
@@ -66,7 +66,15 @@
 
 /// Starts a coroutine.
 pub fn spawn<F: FnOnce() + Send + 'static>(name: &'static str, task: F) -> io::Result<()> {
-    let builder = may::coroutine::Builder::new().name(name.into());
+    start(may::coroutine::Builder::new().name(name.into()), task)
+}
+
+/// Starts a coroutine with a stack of so many words, for what the usual one is too small for.
+pub fn spawn_deep<F: FnOnce() + Send + 'static>(name: &'static str, words: usize, task: F) -> io::Result<()> {
+    start(may::coroutine::Builder::new().name(name.into()).stack_size(words), task)
+}
+
+fn start<F: FnOnce() + Send + 'static>(builder: may::coroutine::Builder, task: F) -> io::Result<()> {
     // SAFETY (of the call inside the macro): a coroutine must not overflow its stack and must not rely on
     // thread-local storage across a wait. Stacks are sized above, nothing here recurses without bound, and all run on
     // the one worker thread, as none waits for may's timers.
--- a/crates/config/src/text.rs
+++ b/crates/config/src/text.rs
@@ -10,26 +10,32 @@
 
 static SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/schema.bin"));
 
-/// The schema's entry of the document. It is compiled in; that it can be read is tested.
-fn descriptor() -> Result<MessageDescriptor, Refusal> {
+/// The schema's entry of a message. The schema is compiled in; that it can be read is tested.
+fn descriptor(name: &str) -> Result<MessageDescriptor, Refusal> {
     static POOL: OnceLock<Option<DescriptorPool>> = OnceLock::new();
     let pool = POOL.get_or_init(|| DescriptorPool::decode(SCHEMA).ok());
     pool.as_ref()
-        .and_then(|pool| pool.get_message_by_name("gaugestep.config.v1.Document"))
-        .ok_or_else(|| Refusal::Unreadable("this build's schema cannot be read".into()))
+        .and_then(|pool| pool.get_message_by_name(&format!("gaugestep.config.v1.{name}")))
+        .ok_or_else(|| Refusal::Unreadable(format!("this build's schema has no {name} that can be read")))
 }
 
-/// Reads a document. Fields that the schema does not have are errors, with their place.
+/// Reads a message of this name from protobuf text format. Fields that the schema does not have are errors, with their
+/// place.
+pub fn read<M: prost::Message + Default>(name: &str, text: &str) -> Result<M, Refusal> {
+    let unreadable = |error: String| Refusal::Unreadable(error);
+    let dynamic = DynamicMessage::parse_text_format(descriptor(name)?, text)
+        .map_err(|error| unreadable(error.to_string()))?;
+    M::decode(dynamic.encode_to_vec().as_slice()).map_err(|error| unreadable(error.to_string()))
+}
+
+/// Reads a document.
 pub fn parse(text: &str) -> Result<Document, Refusal> {
-    let dynamic = DynamicMessage::parse_text_format(descriptor()?, text)
-        .map_err(|error| Refusal::Unreadable(error.to_string()))?;
-    Document::decode(dynamic.encode_to_vec().as_slice())
-        .map_err(|error| Refusal::Unreadable(error.to_string()))
+    read("Document", text)
 }
 
 /// Writes a document so that [`parse`] reads the same.
 pub fn print(document: &Document) -> Result<String, Refusal> {
-    let dynamic = DynamicMessage::decode(descriptor()?, document.encode_to_vec().as_slice())
+    let dynamic = DynamicMessage::decode(descriptor("Document")?, document.encode_to_vec().as_slice())
         .map_err(|error| Refusal::Unreadable(error.to_string()))?;
     Ok(dynamic.to_text_format_with_options(&FormatOptions::new().pretty(true)))
 }
--- /dev/null
+++ b/crates/control/src/cli.rs
@@ -0,0 +1,157 @@
+//! The command line of `gaugestep-control`: the control service, and the operators' commands.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use crate::commands::{self, Connect, Out, PublishArgs};
+use crate::service::{Service, Settings};
+use clap::{CommandFactory as _, Parser, Subcommand};
+use gaugestep_config::{schema, text};
+
+/// Versions of the operators' configuration: the service that streams them, and commands to operate it.
+#[derive(Parser)]
+#[command(name = "gaugestep-control", version)]
+struct Cli {
+    /// Output for machines: one JSON value, or one a line for `watch`; the service's log as JSON lines.
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the service in the foreground until SIGTERM.
+    Serve {
+        /// The service's file, as protobuf text format; see deploy/control.textproto.
+        #[arg(long, env = "GAUGESTEP_CONTROL_CONFIG")]
+        config: PathBuf,
+    },
+    /// Says whether a document can be used; needs no service.
+    Validate {
+        /// The document, as protobuf text format.
+        document: PathBuf,
+    },
+    /// Publishes a document as the next version.
+    Publish {
+        #[command(flatten)]
+        connect: Connect,
+        #[command(flatten)]
+        publish: PublishArgs,
+    },
+    /// Lists versions, newest first.
+    List {
+        #[command(flatten)]
+        connect: Connect,
+        /// At most so many; 0: all.
+        #[arg(long, default_value_t = 20)]
+        most: u32,
+    },
+    /// Shows a version, the newest if none is named.
+    Show {
+        #[command(flatten)]
+        connect: Connect,
+        /// Its number.
+        #[arg(default_value_t = 0)]
+        version: u64,
+    },
+    /// Shows what differs between two versions, each a number or a file; exit code 1 if anything does.
+    Diff {
+        #[command(flatten)]
+        connect: Connect,
+        /// The older one.
+        from: String,
+        /// The newer one.
+        to: String,
+    },
+    /// Shows each proxy: what it has in force, was offered, and turned down.
+    Status {
+        #[command(flatten)]
+        connect: Connect,
+        /// Only this one; exit code 1 if nothing is known of it.
+        #[arg(long)]
+        proxy: Option<String>,
+    },
+    /// Follows a version until it was offered to all and every proxy that is here has it (exit code 0), or until it was
+    /// halted or overtaken (exit code 3).
+    Watch {
+        #[command(flatten)]
+        connect: Connect,
+        /// Its number, the newest if none is named.
+        #[arg(default_value_t = 0)]
+        version: u64,
+        /// Seconds after which to give up, with exit code 4.
+        #[arg(long, default_value_t = 600)]
+        within: u64,
+    },
+    /// Publishes the content of an earlier version as the next one, to all at once.
+    Rollback {
+        #[command(flatten)]
+        connect: Connect,
+        /// The earlier version.
+        to: u64,
+        /// Why.
+        #[arg(long, default_value = "")]
+        note: String,
+    },
+    /// Prints completions for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+/// Runs the program.
+pub fn run() -> ExitCode {
+    let cli = Cli::parse();
+    let out = Out { json: cli.json };
+    let done = match cli.command {
+        Command::Serve { config } => serve(&config, cli.json).map(|()| 0),
+        Command::Validate { document } => commands::validate(&out, &document),
+        Command::Publish { connect, publish } => commands::publish(&out, &connect, &publish),
+        Command::List { connect, most } => commands::list(&out, &connect, most),
+        Command::Show { connect, version } => commands::show(&out, &connect, version),
+        Command::Diff { connect, from, to } => commands::diff(&out, &connect, &from, &to),
+        Command::Status { connect, proxy } => commands::status(&out, &connect, proxy.as_deref()),
+        Command::Watch { connect, version, within } => commands::watch(&out, &connect, version, within),
+        Command::Rollback { connect, to, note } => commands::rollback(&out, &connect, to, note),
+        Command::Completions { shell } => {
+            let mut command = Cli::command();
+            clap_complete::generate(shell, &mut command, "gaugestep-control", &mut std::io::stdout());
+            Ok(0)
+        }
+    };
+    match done {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("gaugestep-control: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(path: &std::path::Path, json: bool) -> Result<(), String> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let told = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let told: schema::Service =
+        text::read("Service", &told).map_err(|error| format!("{}: {error}", path.display()))?;
+    let settings = Settings::of(&told).map_err(|error| format!("{}: {error}", path.display()))?;
+    let filter = tracing_subscriber::EnvFilter::try_from_env("GAUGESTEP_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info,may=warn"));
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_env_filter(filter).with_ansi(false);
+    match json {
+        true => log.json().flatten_event(true).init(),
+        false => log.init(),
+    }
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])
+        .map_err(|error| format!("cannot take signals: {error}"))?;
+    gaugestep_coio::task::set_up();
+    let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let seed = seed.map_or(1, |since| since.as_nanos() as u64);
+    let (listen, operators) = (settings.listen, settings.operators);
+    let _service = Service::start(settings, seed)?;
+    tracing::info!(%listen, %operators, "serving");
+    let signal = signals.forever().next();
+    tracing::info!(signal, "done");
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/gaugestep-control.rs
@@ -0,0 +1,7 @@
+//! `gaugestep-control`: the control service of versioned configuration, and the operators' commands.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    gaugestep_control::cli::run()
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,12 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use gaugestep_config::schema::{Control, Operator};
+use tracing_appender::non_blocking::NonBlocking;
+use tracing_subscriber::{EnvFilter, reload};
+
 use config::Config;
+use net::versions::SetLog;
 
 /// A proxy before query engines: cuts stragglers past a learned timeout and relaunches them once.
 #[derive(Parser)]
@@ -39,6 +44,12 @@
         /// The descriptor of a listening socket that the platform holds, in place of the configuration's `listen`.
         #[arg(long, env = "EDGE_SOCKET_FD")]
         socket_fd: Option<RawFd>,
+        /// What operators set beside it, as protobuf text format; see deploy/operator.textproto.
+        #[arg(long, env = "GAUGESTEP_OPERATOR")]
+        operator: Option<PathBuf>,
+        /// The log as JSON lines.
+        #[arg(long, env = "GAUGESTEP_LOG_JSON")]
+        log_json: bool,
     },
     /// Reads a configuration and says whether it can be used.
     CheckConfig {
@@ -57,7 +68,9 @@
         told.exit()
     });
     let done = match cli.command {
-        Command::Serve { config, management, socket_fd } => serve(&config, management, socket_fd),
+        Command::Serve { config, management, socket_fd, operator, log_json } => {
+            serve(&config, management, socket_fd, operator.as_deref(), log_json)
+        }
         Command::CheckConfig { config } => Config::load(&config).map(|config| {
             println!("{}: can be used; listens on {}", config.name, config.listen);
         }),
@@ -76,7 +89,13 @@
     }
 }
 
-fn serve(path: &Path, management: Option<SocketAddr>, socket_fd: Option<RawFd>) -> Result<(), String> {
+fn serve(
+    path: &Path,
+    management: Option<SocketAddr>,
+    socket_fd: Option<RawFd>,
+    operator: Option<&Path>,
+    log_json: bool,
+) -> Result<(), String> {
     // First of all: SIGHUP ends a process that does not take it.
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("cannot take signals: {error}"))?;
@@ -87,13 +106,17 @@
     let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
         .buffered_lines_limit(4096)
         .finish(std::io::stderr());
-    let filter = tracing_subscriber::EnvFilter::try_from_env("GAUGESTEP_LOG")
-        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("gaugestep=info"));
-    tracing_subscriber::fmt().with_writer(writer).with_env_filter(filter).with_ansi(false).init();
+    let set_log = start_log(writer, log_json);
     net::task::set_up();
     let name = config.name.clone();
     let management = management.or(config.management);
-    let server = Arc::new(net::server::Server::start(config, socket_fd)?);
+    let (seed, control) = (config.seed, operator.map(control).transpose()?.flatten());
+    let server = Arc::new(net::server::Server::start(config, socket_fd, set_log)?);
+    if let Some(control) = control {
+        let build = env!("CARGO_PKG_VERSION");
+        let settings = gaugestep_control::follow::Settings::of(&control, &name, build, seed)?;
+        server.follow(settings)?;
+    }
     if let Some(address) = management {
         net::ops::open(address, server.clone())?;
     }
@@ -121,6 +144,41 @@
     Err("signals are no longer delivered".into())
 }
 
+/// What an operator's file says of a control service.
+fn control(path: &Path) -> Result<Option<Control>, String> {
+    let told = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let told: Operator = gaugestep_config::text::read("Operator", &told)
+        .map_err(|error| format!("{}: {error}", path.display()))?;
+    Ok(told.control)
+}
+
+/// Starts the log; what is returned sets what is logged, to what it was at the start where nothing is said.
+fn start_log(writer: NonBlocking, json: bool) -> SetLog {
+    use tracing_subscriber::prelude::*;
+    let told = std::env::var("GAUGESTEP_LOG").ok();
+    let at_start = told.filter(|told| EnvFilter::try_new(told).is_ok());
+    let at_start = at_start.unwrap_or_else(|| "gaugestep=info,gaugestep_control=info".into());
+    let (filter, handle) = reload::Layer::new(EnvFilter::new(&at_start));
+    let lines = tracing_subscriber::fmt::layer().with_writer(writer).with_ansi(false);
+    let log = tracing_subscriber::registry().with(filter);
+    match json {
+        true => log.with(lines.json().flatten_event(true)).init(),
+        false => log.with(lines).init(),
+    }
+    Box::new(move |directives| {
+        let filter = match directives {
+            None => Ok(EnvFilter::new(&at_start)),
+            Some(directives) => EnvFilter::try_new(format!("{at_start},{directives}")),
+        };
+        let set = filter
+            .map_err(|error| error.to_string())
+            .and_then(|filter| handle.reload(filter).map_err(|error| error.to_string()));
+        if let Err(error) = set {
+            tracing::error!("the log goes on as it is: {error}");
+        }
+    })
+}
+
 /// Has the kernel make room for all descriptors that the process may hold. Guards against doing so under load: with
 /// more than one thread each step (64, 128, 256, ...) waits for the whole machine, and the worker stood still for
 /// seconds in `accept`.
--- a/src/net/classes.rs
+++ b/src/net/classes.rs
@@ -13,6 +13,7 @@
 /// What became of the requests of one class since the start.
 #[derive(Debug, Default)]
 pub struct Counts {
+    open: AtomicU64,
     succeeded: AtomicU64,
     declined: AtomicU64,
     aborted: AtomicU64,
@@ -29,6 +30,16 @@
 }
 
 impl Class {
+    /// Counts a request that is taken.
+    pub fn opened(&self) {
+        self.counts.open.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request that was taken and has its answer.
+    pub fn closed(&self) {
+        self.counts.open.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Counts a request served.
     pub fn succeeded(&self) {
         self.counts.succeeded.fetch_add(1, Ordering::Relaxed);
@@ -91,7 +102,7 @@
     /// Takes new settings: `apply` gets them with the classes at the module's places. A class whose rules change
     /// becomes another one. Guards open requests, which end under the rules that they came under; the place of a
     /// class that has gone is used again once its last request has ended.
-    pub fn take(&self, names: &Names, mut settings: Settings, apply: impl FnOnce(Settings)) {
+    pub fn take(&self, names: &Names, mut settings: Settings, apply: impl FnOnce(Settings, &[Arc<Class>])) {
         let mut state = lock(&self.0);
         let State { book, slots, counts } = &mut *state;
         let mut classes = Vec::with_capacity(names.classes.len());
@@ -113,10 +124,26 @@
             classes.push(class);
         }
         settings.classes = slots.iter().map(|slot| slot.rules.clone()).collect();
-        apply(settings);
+        apply(settings, &classes);
         *book = Arc::new(Book { classes, tenants: names.tenants.clone() });
     }
 
+    /// The classes by name, with their requests that are open.
+    pub fn open(&self) -> Vec<(String, u64)> {
+        let state = lock(&self.0);
+        let open = |counts: &Counts| counts.open.load(Ordering::Relaxed);
+        state.counts.iter().map(|(name, counts)| (name.clone(), open(counts))).collect()
+    }
+
+    /// Requests since the start, over all classes: served, refused, failed.
+    pub fn totals(&self) -> (u64, u64, u64) {
+        let state = lock(&self.0);
+        let sum = |of: fn(&Counts) -> &AtomicU64| {
+            state.counts.values().map(|counts| of(counts).load(Ordering::Relaxed)).sum()
+        };
+        (sum(|it| &it.succeeded), sum(|it| &it.declined), sum(|it| &it.aborted))
+    }
+
     /// The counts of each class.
     pub fn counted(&self) -> serde_json::Value {
         let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{self, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use gaugestep::interface::{CellId, EngineEntry, EngineId, MachineId, Readiness, ZoneId};
@@ -27,6 +27,7 @@
     gateway: Arc<Gateway>,
     known: Mutex<Known>,
     place: Mutex<Place>,
+    changed: OnceLock<Box<dyn Fn() + Send + Sync>>,
 }
 
 /// What has been told so far.
@@ -36,10 +37,25 @@
     index: u64,
     /// The module's numbers of the databases that are listed. Guards against growth: whoever goes is forgotten,
     /// and its number is not given again.
-    engines: HashMap<String, EngineId>,
+    engines: HashMap<String, Listed>,
     next: u32,
 }
 
+/// A database that is listed.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// The module's number.
+    pub engine: EngineId,
+    /// Its zone, kind and cell, as the list has them.
+    pub zone: String,
+    /// See `zone`.
+    pub kind: String,
+    /// See `zone`.
+    pub cell: u64,
+    /// Whether it takes work.
+    pub readiness: Readiness,
+}
+
 /// Where the coordinator is, and the connection to it.
 struct Place {
     address: Option<SocketAddr>,
@@ -49,7 +65,8 @@
 impl Roster {
     /// A roster that knows nothing yet and will follow the coordinator at `address`.
     pub fn new(gateway: Arc<Gateway>, address: Option<SocketAddr>) -> Self {
-        Roster { gateway, known: Mutex::default(), place: Mutex::new(Place { address, open: None }) }
+        let place = Mutex::new(Place { address, open: None });
+        Roster { gateway, known: Mutex::default(), place, changed: OnceLock::new() }
     }
 
     /// How many databases are listed.
@@ -57,6 +74,18 @@
         lock(&self.known).engines.len()
     }
 
+    /// The databases that are listed, by name; none before the first list has come.
+    pub fn databases(&self) -> Option<Vec<(String, Listed)>> {
+        let known = lock(&self.known);
+        let all = known.engines.iter().map(|(name, listed)| (name.clone(), listed.clone())).collect();
+        (known.index > 0).then_some(all)
+    }
+
+    /// Has `then` called whenever the list has changed, with [`Gateway::changes`] held.
+    pub fn on_change(&self, then: Box<dyn Fn() + Send + Sync>) {
+        let _ = self.changed.set(then);
+    }
+
     /// Takes the events of a configuration; those known already are skipped.
     pub fn know(&self, index: u64, events: &[Value]) {
         for event in events {
@@ -81,6 +110,7 @@
 
     /// Applies one event. What cannot be read is logged and passed over.
     fn apply(&self, event: &Value) {
+        let _changes = lock(&self.gateway.changes);
         let endpoints = &event["endpoints"];
         let whole = endpoints["complete"].as_bool().unwrap_or(false);
         let Some(members) = endpoints["members"].as_array() else {
@@ -95,11 +125,14 @@
         }
         if whole {
             let engines: Vec<EngineId> = entries.iter().map(|entry| entry.engine).collect();
-            lock(&self.known).engines.retain(|_, engine| engines.contains(engine));
+            lock(&self.known).engines.retain(|_, listed| engines.contains(&listed.engine));
             self.gateway.lines.only(&engines);
         }
         tracing::info!(whole, members = entries.len(), "databases listed");
         self.gateway.facade.engines(entries, whole);
+        if let Some(then) = self.changed.get() {
+            then();
+        }
     }
 
     fn member(&self, member: &Value) -> Option<EngineEntry> {
@@ -111,7 +144,10 @@
             _ => return None,
         };
         let address: Option<SocketAddr> = member["host_port"].as_str().and_then(|text| text.parse().ok());
-        let engine = self.number(name, readiness == Readiness::Gone)?;
+        let text = |key: &str| member[key].as_str().unwrap_or_default().to_owned();
+        let cell = member["cell"].as_u64().unwrap_or(0);
+        let (zone, kind) = (text("locality"), text("flavor"));
+        let engine = self.number(name, Listed { engine: EngineId(0), zone, kind, cell, readiness })?;
         self.gateway.lines.listed(engine, address, readiness);
         let names = &self.gateway.names;
         let place = |names: &[String], key: &str| {
@@ -124,24 +160,26 @@
             engine,
             zone: ZoneId(place(&names.zones, "locality").unwrap_or(0)),
             machine: MachineId(place(&names.machines, "flavor").unwrap_or(usize::MAX)),
-            cell: CellId(member["cell"].as_u64().unwrap_or(0)),
+            cell: CellId(cell),
             readiness,
             started: started.map(|at| self.gateway.facade.at_unix(at)),
         })
     }
 
     /// The module's number of a database, which ends with it; none if it goes without ever having been listed.
-    fn number(&self, name: &str, gone: bool) -> Option<EngineId> {
+    fn number(&self, name: &str, listed: Listed) -> Option<EngineId> {
         let mut known = lock(&self.known);
-        if gone {
-            return known.engines.remove(name);
-        }
-        if let Some(engine) = known.engines.get(name) {
-            return Some(*engine);
+        if listed.readiness == Readiness::Gone {
+            return known.engines.remove(name).map(|listed| listed.engine);
         }
-        let engine = EngineId(known.next);
-        known.next += 1;
-        known.engines.insert(name.to_owned(), engine);
+        let engine = match known.engines.get(name) {
+            Some(known) => known.engine,
+            None => {
+                known.next += 1;
+                EngineId(known.next - 1)
+            }
+        };
+        known.engines.insert(name.to_owned(), Listed { engine, ..listed });
         Some(engine)
     }
 
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -526,7 +526,7 @@
         let word = word.map(|byte| char::from(*byte)).collect();
         let (mailbox, answer) = (Mailbox::new(), Arc::new(Mutex::new(None)));
         let (post, slot, waker) = (mailbox.address(), answer.clone(), self.stream.waker());
-        let (gateway, open) = (self.front.gateway.clone(), self.front.gateway.opened());
+        let (gateway, open) = (self.front.gateway.clone(), self.front.gateway.opened(&query.class));
         let spawned = task::spawn("request", move || {
             relay(&gateway, query, &mailbox, |given| {
                 *lock(&slot) = Some(given);
@@ -558,7 +558,7 @@
                 .tenant(name)
                 .ok_or_else(|| ("22023", format!("field 'acct' is '{name}', which is no tenant")))?,
         };
-        if gateway.open.load(Ordering::Relaxed) >= gateway.max_open {
+        if gateway.open.load(Ordering::Relaxed) >= gateway.max_open.load(Ordering::Relaxed) {
             class.declined();
             return Err(("53300", "too many requests are open".into()));
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,8 +11,9 @@
 pub mod ops;
 pub mod relay;
 pub mod server;
-pub mod stream;
-pub mod task;
+pub mod versions;
+
+pub use gaugestep_coio::{stream, task};
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -1,11 +1,11 @@
 //! One request's way from a front to the databases and back, as the facade says.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use super::back::lines::Lines;
-use super::classes::Classes;
+use super::classes::{Class, Classes};
 use super::ending::Ending;
 use super::{Answer, AttemptEnding, Mail, News, Pages, Query};
 use crate::config::Names;
@@ -22,25 +22,30 @@
     /// The classes and tenants.
     pub classes: Classes,
     /// Requests that may be open together.
-    pub max_open: usize,
+    pub max_open: AtomicUsize,
+    /// Held while the list of engines or the settings change, so that a version is checked against a proxy that stays
+    /// as it is until the version is in force.
+    pub changes: Mutex<()>,
     /// Requests that are taken and not yet answered in full.
     pub open: AtomicUsize,
 }
 
 impl Gateway {
     /// Counts a request as open until the returned guard is dropped.
-    pub fn opened(self: &Arc<Self>) -> Open {
+    pub fn opened(self: &Arc<Self>, class: &Arc<Class>) -> Open {
         self.open.fetch_add(1, Ordering::Relaxed);
-        Open(self.clone())
+        class.opened();
+        Open(self.clone(), class.clone())
     }
 }
 
 /// Counts one open request.
-pub struct Open(Arc<Gateway>);
+pub struct Open(Arc<Gateway>, Arc<Class>);
 
 impl Drop for Open {
     fn drop(&mut self) {
         self.0.open.fetch_sub(1, Ordering::Relaxed);
+        self.1.closed();
     }
 }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,11 +3,12 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{FromRawFd as _, OwnedFd, RawFd};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use gaugestep::Settings;
+use gaugestep_control::follow::{self, Follower};
 use may::io::{CoIo, WaitIo as _, WaitIoWaker};
 
 use super::back::lines::Lines;
@@ -15,7 +16,8 @@
 use super::coordinator::Roster;
 use super::front::pg::{Front, Leave};
 use super::relay::Gateway;
-use super::task;
+use super::versions::{SetLog, Told, Versioned};
+use super::{lock, task};
 use crate::config::{Config, Limits};
 use crate::facade::Facade;
 
@@ -64,11 +66,14 @@
     stopping: AtomicBool,
     /// Configurations taken and turned down since the start.
     pub reloads: (AtomicU64, AtomicU64),
+    versioned: Arc<Versioned>,
+    /// What follows a control service, where an operator has named one.
+    follower: OnceLock<Arc<Follower>>,
 }
 
 impl Server {
     /// Listens, on a socket that the platform holds if there is one, and starts all coroutines.
-    pub fn start(config: Config, inherited: Option<RawFd>) -> Result<Self, String> {
+    pub fn start(config: Config, inherited: Option<RawFd>, set_log: SetLog) -> Result<Self, String> {
         let listener = match inherited {
             Some(descriptor) => inherit(descriptor),
             None => bind(config.listen),
@@ -84,20 +89,26 @@
         };
         let longest = (config.limits.memory_bytes / MEMORY_PART / sessions).max(LEAST_MESSAGE);
         let settings = bounded(config.settings, &config.limits);
-        let told = settings.clone();
+        let told = Told {
+            names: config.names.clone(),
+            settings: settings.clone(),
+            max_open: config.limits.max_open,
+        };
         let facade = Facade::new(settings, config.seed).map_err(|error| error.to_string())?;
         let classes = Classes::default();
-        classes.take(&config.names, told, |_| {});
+        classes.take(&config.names, told.settings.clone(), |_, _| {});
         let gateway = Arc::new(Gateway {
             facade,
             lines: Arc::new(Lines::new(config.limits, budget)),
             names: config.names,
             classes,
             open: AtomicUsize::new(0),
-            max_open: config.limits.max_open,
+            max_open: AtomicUsize::new(config.limits.max_open),
+            changes: Mutex::new(()),
         });
         let roster = Arc::new(Roster::new(gateway.clone(), config.coordinator));
         roster.know(config.known_index, &config.known);
+        let versioned = Versioned::start(gateway.clone(), roster.clone(), told, set_log);
         let front = Arc::new(Front::new(gateway.clone(), config.seed, longest));
         let listener = CoIo::new(listener).map_err(|error| io::Error::from(error).to_string())?;
         let server = Server {
@@ -115,6 +126,8 @@
             drains: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             reloads: Default::default(),
+            versioned,
+            follower: OnceLock::new(),
         };
         let start = |name, task: Box<dyn FnOnce() + Send>| {
             task::spawn(name, task).map_err(|error| format!("cannot start a coroutine: {error}"))
@@ -144,12 +157,25 @@
     /// the start; sessions and attempts go on, these under the rules that they came under.
     pub fn reconfigure(&self, config: Config) {
         let settings = bounded(config.settings, &config.limits);
-        let retune = |settings| self.gateway.facade.retune(settings);
-        self.gateway.classes.take(&config.names, settings, retune);
+        let told = Told { names: config.names, settings, max_open: config.limits.max_open };
+        {
+            let _changes = lock(&self.gateway.changes);
+            self.versioned.retell(told);
+        }
+        if let Some(follower) = self.follower.get() {
+            follower.platform_changed();
+        }
         self.roster.know(config.known_index, &config.known);
         self.roster.move_to(config.coordinator);
     }
 
+    /// Follows a control service from now on; first of all the last good version is taken.
+    pub fn follow(&self, settings: follow::Settings) -> Result<(), String> {
+        let follower = Follower::start(settings, self.versioned.clone())?;
+        let _ = self.follower.set(follower);
+        Ok(())
+    }
+
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
         !self.draining() && !self.stopping.load(Ordering::Relaxed)
@@ -162,7 +188,7 @@
     /// What operators are told.
     pub fn figures(&self) -> serde_json::Value {
         let (applied, rejected) = &self.reloads;
-        serde_json::json!({
+        let mut figures = serde_json::json!({
             "results": self.gateway.classes.counted(),
             "forwards": self.gateway.lines.forwards(),
             "outstanding": self.gateway.open.load(Ordering::Relaxed),
@@ -170,7 +196,11 @@
             "ejected": self.gateway.facade.avoided(),
             "sighup_applied": applied.load(Ordering::Relaxed),
             "sighup_rejected": rejected.load(Ordering::Relaxed),
-        })
+        });
+        if let Some(follower) = self.follower.get() {
+            figures["configuration"] = follower.figures();
+        }
+        figures
     }
 
     /// An operator drains the proxy: it is not ready any more, and a little later closes its sessions, each once
--- /dev/null
+++ b/src/net/versions.rs
@@ -0,0 +1,186 @@
+//! What a version of the operators' configuration does to the proxy that runs, and how the proxy looks to the ledger that
+//! checks versions. What may be taken is decided in `gaugestep-config`; here it is carried out.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+
+use gaugestep::Settings;
+use gaugestep::interface::{AttemptBudget, EngineId, Readiness, Route, TenantId};
+use gaugestep_config::Document;
+use gaugestep_config::live::{self, Engine, Live, Platform, State};
+use gaugestep_config::schema::logging::Level;
+use gaugestep_control::follow::Host;
+
+use super::classes::Class;
+use super::coordinator::{Listed, Roster};
+use super::lock;
+use super::relay::Gateway;
+use crate::config::Names;
+
+/// The span of a ration of further attempts, in milliseconds, where the platform names none.
+const SPAN: f64 = 5_000.0;
+
+/// What the platform's own file says.
+pub struct Told {
+    /// The names of classes and tenants.
+    pub names: Names,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Requests that may be open together, as the front counts them.
+    pub max_open: usize,
+}
+
+/// Sets what is logged: the directives, or those of the start if there are none.
+pub type SetLog = Box<dyn Fn(Option<String>) + Send + Sync>;
+
+/// The proxy as versions see it.
+pub struct Versioned {
+    gateway: Arc<Gateway>,
+    roster: Arc<Roster>,
+    told: Mutex<Told>,
+    document: Mutex<Document>,
+    set_log: SetLog,
+}
+
+impl Versioned {
+    /// The proxy under the platform's own file alone. It looks at its routes anew whenever the list changes.
+    pub fn start(gateway: Arc<Gateway>, roster: Arc<Roster>, told: Told, set_log: SetLog) -> Arc<Self> {
+        let document = Mutex::default();
+        let this = Arc::new(Versioned { gateway, roster, told: Mutex::new(told), document, set_log });
+        let looking = Arc::downgrade(&this);
+        this.roster.on_change(Box::new(move || {
+            if let Some(this) = looking.upgrade() {
+                if !lock(&this.document).routes.is_empty() {
+                    this.settle();
+                }
+            }
+        }));
+        this
+    }
+
+    /// The platform's own file has changed. Called with [`Gateway::changes`] held.
+    pub fn retell(&self, told: Told) {
+        *lock(&self.told) = told;
+        self.settle();
+    }
+
+    /// Puts the platform's file and the document in force together. Called with [`Gateway::changes`] held.
+    fn settle(&self) {
+        let (told, document) = (lock(&self.told), lock(&self.document).clone());
+        let counts = live::effective(&document, &platform(&told));
+        let mut settings = told.settings.clone();
+        let mut names = told.names.clone();
+        let served = |name: &String| live::serves(&document, name);
+        let kept =
+            names.classes.iter().zip(std::mem::take(&mut settings.classes)).filter(|(name, _)| served(name));
+        (names.classes, settings.classes) = kept.map(|(name, class)| (name.clone(), class)).unzip();
+        for (tenant, quota) in settings.tenants.iter_mut().zip(&counts.quotas) {
+            tenant.quota_per_s = *quota;
+        }
+        settings.max_open = settings.max_open.min(counts.max_open as usize);
+        settings.max_attempts = counts.max_attempts as usize;
+        let span = settings.budget.map_or(SPAN, |budget| budget.span);
+        settings.budget = counts.retries.map(|(ratio, free)| AttemptBudget { free, ratio, span });
+        let max_open = told.max_open.min(counts.max_open as usize);
+        drop(told);
+        self.gateway.max_open.store(max_open, Ordering::Relaxed);
+        let tenants = names.tenants.clone();
+        self.gateway.classes.take(&names, settings, |mut settings, classes| {
+            settings.routes = self.routes(&document, classes, &tenants);
+            self.gateway.facade.retune(settings);
+        });
+    }
+
+    /// The document's routes as the module takes them.
+    fn routes(&self, document: &Document, classes: &[Arc<Class>], tenants: &[String]) -> Vec<Route> {
+        if document.routes.is_empty() {
+            return Vec::new();
+        }
+        let listed = self.roster.databases().unwrap_or_default();
+        let numbers: BTreeMap<&String, EngineId> =
+            listed.iter().map(|(name, it)| (name, it.engine)).collect();
+        let engines: Vec<Engine> = listed.iter().map(|(name, listed)| engine(name, listed)).collect();
+        let class = |name: &String| classes.iter().find(|class| class.name == *name).map(|class| class.id);
+        let tenant = |name: &String| tenants.iter().position(|other| other == name).map(TenantId);
+        let route = |route: &live::Resolved| Route {
+            classes: (!route.classes.is_empty()).then(|| route.classes.iter().filter_map(class).collect()),
+            tenants: (!route.tenants.is_empty()).then(|| route.tenants.iter().filter_map(tenant).collect()),
+            engines: route.engines.as_ref().map(|engines| {
+                engines.iter().filter_map(|(name, weight)| Some((*numbers.get(name)?, *weight))).collect()
+            }),
+        };
+        live::resolve(document, &engines).iter().map(route).collect()
+    }
+}
+
+/// What the platform's file and the rule allow.
+fn platform(told: &Told) -> Platform {
+    let quota = |quota: f64| (quota > 0.0).then_some(quota);
+    let tenants = told.names.tenants.iter().zip(&told.settings.tenants);
+    Platform {
+        tenants: tenants.map(|(name, tenant)| (name.clone(), quota(tenant.quota_per_s))).collect(),
+        max_open: told.max_open as u64,
+        max_attempts: told.settings.max_attempts as u64,
+        retries: told.settings.budget.map(|budget| (budget.ratio, budget.free)),
+    }
+}
+
+fn engine(name: &str, listed: &Listed) -> Engine {
+    let state = if listed.readiness == Readiness::Up { State::Up } else { State::Draining };
+    Engine {
+        name: name.into(),
+        kind: listed.kind.clone(),
+        zone: listed.zone.clone(),
+        cell: listed.cell,
+        state,
+    }
+}
+
+/// Logging as the log's filter takes it; none where the document says nothing.
+fn directives(document: &Document) -> Option<String> {
+    let logging = document.logging.as_ref()?;
+    let level = |level: Level| match level {
+        Level::Unset => None,
+        Level::Error => Some("error"),
+        Level::Warn => Some("warn"),
+        Level::Info => Some("info"),
+        Level::Debug => Some("debug"),
+        Level::Trace => Some("trace"),
+    };
+    let base = level(logging.level()).map(|level| format!("gaugestep={level}"));
+    let parts =
+        logging.parts.iter().filter_map(|part| Some(format!("{}={}", part.name, level(part.level())?)));
+    let all: Vec<String> = base.into_iter().chain(parts).collect();
+    (!all.is_empty()).then(|| all.join(","))
+}
+
+impl Host for Versioned {
+    fn held(&self, then: &mut dyn FnMut(&Live)) {
+        let _changes = lock(&self.gateway.changes);
+        let told = lock(&self.told);
+        let open = self.gateway.classes.open();
+        let count = |name: &String| open.iter().find(|(other, _)| other == name).map_or(0, |(_, open)| *open);
+        let classes =
+            told.names.classes.iter().map(|name| live::Class { name: name.clone(), open: count(name) });
+        let listed = self.roster.databases();
+        let live = Live {
+            engines: listed.map(|all| all.iter().map(|(name, listed)| engine(name, listed)).collect()),
+            classes: classes.collect(),
+            open: self.gateway.open.load(Ordering::Relaxed) as u64,
+            platform: platform(&told),
+        };
+        drop(told);
+        then(&live);
+    }
+
+    fn apply(&self, document: &Document) {
+        *lock(&self.document) = document.clone();
+        self.settle();
+        (self.set_log)(directives(document));
+    }
+
+    fn counted(&self) -> (u64, u64, u64) {
+        self.gateway.classes.totals()
+    }
+}
--- /dev/null
+++ b/tests/common/control.rs
@@ -0,0 +1,275 @@
+//! A control service as a process, a scripted one, and engines that answer by themselves.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use gaugestep_config::schema::offer::Content;
+use gaugestep_config::schema::{FromClient, FromService, Hello, Offer, Welcome, from_client, from_service};
+use gaugestep_config::{Document, text, version};
+use prost::Message as _;
+use serde_json::Value;
+
+use crate::proxy::{Database, PATIENCE, free_address};
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A control service as a process, with its files in a folder of its own.
+pub struct Control {
+    child: Child,
+    pub listen: SocketAddr,
+    pub operators: SocketAddr,
+    pub folder: tempfile::TempDir,
+    extra: String,
+    client: Vec<String>,
+}
+
+impl Control {
+    /// Starts one without keys.
+    pub fn start() -> Self {
+        Self::keyed(tempfile::tempdir().unwrap(), String::new(), Vec::new())
+    }
+
+    /// Starts one with more in its file, and with more arguments for commands that call it.
+    pub fn keyed(folder: tempfile::TempDir, extra: String, client: Vec<String>) -> Self {
+        let (listen, operators) = (free_address(), free_address());
+        let child = Self::spawn(folder.path(), listen, operators, &extra);
+        let control = Control { child, listen, operators, folder, extra, client };
+        control.wait_until_ready();
+        control
+    }
+
+    fn spawn(folder: &Path, listen: SocketAddr, operators: SocketAddr, extra: &str) -> Child {
+        let config = folder.join("control.textproto");
+        let store = folder.join("versions.redb");
+        let told = format!(
+            "listen: \"{listen}\" operators: \"{operators}\" store: {:?} {extra}",
+            store.display().to_string()
+        );
+        std::fs::write(&config, told).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
+        command.args(["--json", "serve", "--config"]).arg(&config);
+        let log = std::fs::OpenOptions::new().append(true).create(true).open(folder.join("log")).unwrap();
+        command.stdout(Stdio::null()).stderr(log).spawn().unwrap()
+    }
+
+    fn wait_until_ready(&self) {
+        until("the control service starts", || self.run(&["list"]).0 == 0);
+    }
+
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn store(&self) -> PathBuf {
+        self.folder.path().join("versions.redb")
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap()
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Starts it anew after its end.
+    pub fn restart(&mut self) {
+        self.child = Self::spawn(self.folder.path(), self.listen, self.operators, &self.extra);
+        self.wait_until_ready();
+    }
+
+    /// A command that calls it: its exit code, what it printed, and what it said was wrong.
+    pub fn run(&self, arguments: &[&str]) -> (i32, String, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
+        command.env("GAUGESTEP_CONTROL", self.operators.to_string()).env("USER", "tester");
+        let done = command.args(arguments).args(self.client.iter()).output().unwrap();
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (done.status.code().unwrap_or(-1), text(&done.stdout), text(&done.stderr))
+    }
+
+    /// The same, with its result as JSON.
+    pub fn json(&self, arguments: &[&str]) -> Value {
+        let (_, told, error) = self.run(&[&["--json"], arguments].concat());
+        serde_json::from_str(&told).unwrap_or_else(|_| panic!("{arguments:?}: {told}{error}"))
+    }
+
+    /// Writes a document to a file.
+    pub fn file(&self, name: &str, document: &str) -> String {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, document).unwrap();
+        path.display().to_string()
+    }
+
+    /// Publishes a document; the version's number.
+    pub fn publish(&self, document: &str, arguments: &[&str]) -> u64 {
+        let file = self.file("document.textproto", document);
+        self.json(&[&["publish", &file], arguments].concat())["version"].as_u64().unwrap()
+    }
+
+    /// What is known of a proxy.
+    pub fn proxy(&self, name: &str) -> Value {
+        self.json(&["status", "--proxy", name])["proxies"][0].clone()
+    }
+
+    /// What an operator writes for a proxy that follows this service.
+    pub fn operator(&self, state: &Path) -> PathBuf {
+        operator(self.folder.path(), self.listen, state, "")
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Writes an operator's file.
+pub fn operator(folder: &Path, service: SocketAddr, state: &Path, extra: &str) -> PathBuf {
+    let name = state.file_name().unwrap().to_string_lossy();
+    let path = folder.join(format!("operator-{name}.textproto"));
+    let told =
+        format!("control {{ services: \"{service}\" state: {:?} {extra} }}", state.display().to_string());
+    std::fs::write(&path, told).unwrap();
+    path
+}
+
+/// A service that says what the test has it say.
+pub struct StandIn(pub TcpListener);
+
+impl StandIn {
+    pub fn new() -> Self {
+        StandIn(TcpListener::bind(free_address()).unwrap())
+    }
+
+    /// The next stream of a proxy, after its hello was welcomed.
+    pub fn accept(&self) -> Stream {
+        let (socket, _) = self.0.accept().unwrap();
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut stream = Stream { socket, hello: Hello::default() };
+        let Some(from_client::Said::Hello(hello)) = stream.next().said else { panic!("no hello") };
+        stream.hello = hello;
+        let welcome = Welcome { protocol: 1, lineage: 7 };
+        stream.say(&FromService { said: Some(from_service::Said::Welcome(welcome)) });
+        stream
+    }
+}
+
+/// A proxy's stream at a scripted service.
+pub struct Stream {
+    pub socket: TcpStream,
+    pub hello: Hello,
+}
+
+impl Stream {
+    pub fn say(&mut self, message: &FromService) {
+        self.socket.write_all(&framed(message)).unwrap();
+    }
+
+    fn next(&mut self) -> FromClient {
+        let mut head = [0; 4];
+        self.socket.read_exact(&mut head).expect("the stream stays open");
+        let mut body = vec![0; u32::from_be_bytes(head) as usize];
+        self.socket.read_exact(&mut body).unwrap();
+        FromClient::decode(body.as_slice()).unwrap()
+    }
+
+    /// The next answer: nonce, and the refusal's code.
+    pub fn answer(&mut self) -> (u64, Option<String>) {
+        loop {
+            if let Some(from_client::Said::Answer(answer)) = self.next().said {
+                return (answer.nonce, answer.refusal.map(|refusal| refusal.code));
+            }
+        }
+    }
+}
+
+pub fn framed(message: &FromService) -> Vec<u8> {
+    let body = message.encode_to_vec();
+    [&(body.len() as u32).to_be_bytes(), body.as_slice()].concat()
+}
+
+/// An offer of a document.
+pub fn offer(number: u64, nonce: u64, document: &str) -> Offer {
+    let document: Document = text::parse(document).unwrap();
+    let content = Some(Content::Snapshot(document.clone()));
+    Offer { version: Some(version(number, &document)), nonce, content, rolls_back_to: 0 }
+}
+
+pub fn offering(offer: Offer) -> FromService {
+    FromService { said: Some(from_service::Said::Offer(offer)) }
+}
+
+/// An engine that serves whatever it is sent, and remembers it.
+pub struct Engine {
+    pub database: Database,
+    pub served: Arc<Mutex<Vec<String>>>,
+    /// While set, what is sent waits.
+    pub holds: Arc<AtomicBool>,
+    pub taken: Arc<AtomicUsize>,
+}
+
+impl Engine {
+    pub fn new() -> Self {
+        let database = Database::new();
+        let engine =
+            Engine { database, served: Arc::default(), holds: Arc::default(), taken: Arc::default() };
+        let listener = engine.database.0.try_clone().unwrap();
+        let (served, holds, taken) = (engine.served.clone(), engine.holds.clone(), engine.taken.clone());
+        std::thread::spawn(move || {
+            while let Ok((socket, _)) = listener.accept() {
+                let (served, holds, taken) = (served.clone(), holds.clone(), taken.clone());
+                std::thread::spawn(move || serve(socket, &served, &holds, &taken));
+            }
+        });
+        engine
+    }
+
+    pub fn served(&self) -> usize {
+        self.served.lock().unwrap().len()
+    }
+}
+
+fn serve(socket: TcpStream, served: &Mutex<Vec<String>>, holds: &AtomicBool, taken: &AtomicUsize) {
+    use std::io::{BufRead as _, BufReader};
+    let mut reader = BufReader::new(socket);
+    let mut line = String::new();
+    while reader.read_line(&mut line).is_ok_and(|read| read > 0) {
+        let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let answer = match words[0] {
+            "serve" => {
+                let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                if reader.read_exact(&mut body).is_err() {
+                    return;
+                }
+                taken.fetch_add(1, Ordering::SeqCst);
+                while holds.load(Ordering::SeqCst) {
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                served.lock().unwrap().push(words[1].to_owned());
+                Some(format!("{} HIT total=1,elapsed=5,rss=1 6\r\na\tb\tc\n\r\n", words[1]))
+            }
+            "health" => Some(format!("{} PONG - 0\r\n\r\n", words[1])),
+            _ => None,
+        };
+        if answer.is_some_and(|answer| reader.get_mut().write_all(answer.as_bytes()).is_err()) {
+            return;
+        }
+        line.clear();
+    }
+}
--- a/tests/example.rs
+++ b/tests/example.rs
@@ -62,3 +62,19 @@
     assert!(answer.starts_with("E 53000 refused, nothing was done: backoff="), "{answer}");
     assert_eq!(client.hint.as_deref(), Some("no engine had room before the time ran out"));
 }
+
+/// The files of the example with versions are of their forms, and the document is one that can be published.
+#[test]
+fn the_example_with_versions_can_be_read() {
+    use gaugestep_config::schema::{Operator, Service};
+    use gaugestep_config::text;
+    let read = |name: &str| std::fs::read_to_string(file(name)).unwrap();
+    for folder in ["examples/versions", "deploy"] {
+        let operator: Operator =
+            text::read("Operator", &read(&format!("{folder}/operator.textproto"))).unwrap();
+        let service: Service = text::read("Service", &read(&format!("{folder}/control.textproto"))).unwrap();
+        assert_eq!(operator.control.unwrap().services, [service.listen]);
+    }
+    let document = text::parse(&read("examples/versions/document.textproto")).unwrap();
+    assert_eq!(gaugestep_config::check::check(&document), []);
+}
--- /dev/null
+++ b/tests/keys.rs
@@ -0,0 +1,144 @@
+//! Versioned configuration over mutual TLS: who is believed, and keys that change while streams are open.
+
+#[path = "common/control.rs"]
+mod control;
+#[path = "common/proxy.rs"]
+mod proxy;
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use control::{Control, operator, until};
+use proxy::{Launch, Proxy};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+
+/// Somebody who signs certificates.
+struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+    pem: String,
+}
+
+impl Authority {
+    fn new(name: &str) -> Self {
+        let key = KeyPair::generate().unwrap();
+        let mut told = CertificateParams::new(vec![name.to_owned()]).unwrap();
+        told.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let pem = told.self_signed(&key).unwrap().pem();
+        Authority { issuer: Issuer::new(told, key), pem }
+    }
+
+    /// Writes a certificate for a name with its key, and this authority's own certificate beside them.
+    fn sign(&self, folder: &Path, file: &str, name: &str) {
+        let key = KeyPair::generate().unwrap();
+        let told = CertificateParams::new(vec![name.to_owned()]).unwrap();
+        let certificate = told.signed_by(&key, &self.issuer).unwrap();
+        std::fs::write(folder.join(format!("{file}.key")), key.serialize_pem()).unwrap();
+        std::fs::write(folder.join(format!("{file}.pem")), certificate.pem()).unwrap();
+    }
+
+    fn write(&self, folder: &Path, file: &str) {
+        std::fs::write(folder.join(format!("{file}.pem")), &self.pem).unwrap();
+    }
+}
+
+fn keys(folder: &Path, file: &str, authority: &str) -> String {
+    let path = |name: String| format!("{:?}", folder.join(name).display().to_string());
+    format!(
+        "keys {{ certificate: {} key: {} authority: {} }}",
+        path(format!("{file}.pem")),
+        path(format!("{file}.key")),
+        path(format!("{authority}.pem"))
+    )
+}
+
+/// A service with keys, one authority for proxies and one for operators.
+fn service() -> (Control, Authority, Authority) {
+    let folder = tempfile::tempdir().unwrap();
+    let (proxies, operators) = (Authority::new("proxies"), Authority::new("operators"));
+    proxies.write(folder.path(), "proxies");
+    operators.write(folder.path(), "operators");
+    proxies.sign(folder.path(), "service", "control.test");
+    operators.sign(folder.path(), "operator", "anybody");
+    let path = |name: &str| folder.path().join(name).display().to_string();
+    let extra = format!(
+        "{} operators_authority: {:?}",
+        keys(folder.path(), "service", "proxies"),
+        path("operators.pem")
+    );
+    let client = ["--certificate", "operator.pem", "--key", "operator.key", "--authority", "proxies.pem"];
+    let mut client: Vec<String> =
+        client.iter().map(|it| if it.starts_with("--") { (*it).to_owned() } else { path(it) }).collect();
+    client.extend(["--service-name".to_owned(), "control.test".to_owned()]);
+    (Control::keyed(folder, extra, client), proxies, operators)
+}
+
+/// A proxy that shows the certificate of this name in its files.
+fn proxy(control: &Control, kept: &tempfile::TempDir, file: &str) -> Proxy {
+    let folder = control.folder.path();
+    let extra = format!("{} service_name: \"control.test\"", keys(folder, file, "proxies"));
+    let file = operator(folder, control.listen, &kept.path().join("n0"), &extra);
+    Launch { operator: Some(file), ..Launch::new(&[]) }.start()
+}
+
+fn in_force(proxy: &Proxy) -> u64 {
+    proxy.figure("/configuration/version").unwrap()
+}
+
+#[test]
+fn a_proxy_with_its_own_key_follows_and_new_keys_are_taken_without_dropping_the_stream() {
+    let (control, proxies, _) = service();
+    proxies.sign(control.folder.path(), "n0", "n0");
+    let kept = tempfile::tempdir().unwrap();
+    let proxy = proxy(&control, &kept, "n0");
+    let first = control.publish("limits { max_open: 21 }", &[]);
+    until("the first is in force", || in_force(&proxy) == first);
+    // New keys on both sides, each file behind the other.
+    proxies.sign(control.folder.path(), "service", "control.test");
+    proxies.sign(control.folder.path(), "n0", "n0");
+    until("the service takes its new keys", || control.log().matches("took new keys").count() >= 2);
+    let second = control.publish("limits { max_open: 22 }", &[]);
+    until("the second is in force", || in_force(&proxy) == second);
+    assert_eq!(control.log().matches("a proxy is here").count(), 1, "over the stream that was open");
+    let kept = tempfile::tempdir().unwrap();
+    let newcomer = self::proxy(&control, &kept, "n0");
+    until("a newcomer follows with the new keys", || in_force(&newcomer) == second);
+}
+
+#[test]
+fn keys_of_another_proxy_another_authority_or_another_purpose_are_not_believed() {
+    let (control, proxies, operators) = service();
+    let folder = control.folder.path();
+    proxies.sign(folder, "other", "n7");
+    operators.sign(folder, "foreign", "n0");
+    let number = control.publish("limits { max_open: 21 }", &[]);
+    let kept: Vec<_> = (0..2).map(|_| tempfile::tempdir().unwrap()).collect();
+    let refused: Vec<Proxy> =
+        ["other", "foreign"].iter().zip(&kept).map(|(file, kept)| proxy(&control, kept, file)).collect();
+    until("the other proxy's name is told", || control.log().contains("does not carry the name 'n0'"));
+    // A proxy's key is no operator's.
+    proxies.sign(folder, "n0", "n0");
+    let path = |name: &str| folder.join(name).display().to_string();
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
+    command.args(["list", "--service", &control.operators.to_string(), "--service-name", "control.test"]);
+    command.args([
+        "--certificate",
+        &path("n0.pem"),
+        "--key",
+        &path("n0.key"),
+        "--authority",
+        &path("proxies.pem"),
+    ]);
+    assert_eq!(command.output().unwrap().status.code(), Some(1));
+    // Nor is nobody's.
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
+    command.args(["list", "--service", &control.operators.to_string()]);
+    assert_eq!(command.output().unwrap().status.code(), Some(1));
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(500) {
+        assert!(refused.iter().all(|proxy| in_force(proxy) == 0));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let kept = tempfile::tempdir().unwrap();
+    let believed = proxy(&control, &kept, "n0");
+    until("its own key is believed", || in_force(&believed) == number);
+}
