--- a/crates/config/tests/ledger.rs
+++ b/crates/config/tests/ledger.rs
@@ -9,6 +9,7 @@
 use gaugestep_config::schema::{Limits, Offer, Route, Target, target::Which};
 use gaugestep_config::{Document, Refusal, check, delta, live, version};
 use proptest::prelude::*;
+use prost::Message as _;
 
 fn engine(name: &str, state: State) -> Engine {
     Engine { name: name.into(), kind: "k".into(), zone: "z".into(), cell: 0, state }
@@ -273,6 +274,33 @@
     assert_eq!(refused.iter().map(|(_, refusal)| refusal.code()).collect::<Vec<_>>(), ["unreadable"; 2]);
 }
 
+/// An offer that is cut off at any byte, in a frame that hides it, is no message, or is refused.
+#[test]
+fn an_offer_cut_off_at_any_byte_is_never_taken() {
+    let document = document(1, 3);
+    let offer = Offer {
+        version: Some(version(3, &document)),
+        nonce: 9,
+        content: Some(Content::Snapshot(document)),
+        rolls_back_to: 1,
+    };
+    let whole = offer.encode_to_vec();
+    let mut messages = 0;
+    for cut in 0..whole.len() {
+        let Ok(offer) = Offer::decode(&whole[..cut]) else { continue };
+        // All but the last field may be there: then it is the version itself, whole.
+        let all = offer.content.is_some() && offer.version.is_some();
+        let mut ledger = Ledger::new();
+        let actions = ledger.handle(0.0, Event::Offered(0, Box::new(offer)), &live(false, 0));
+        match &actions[..] {
+            [Action::Answer(_, _, Some(_))] => messages += 1,
+            [Action::Stage(3, _)] if all => {}
+            other => panic!("cut at byte {cut}: {other:?}"),
+        }
+    }
+    assert!(messages > 0);
+}
+
 /// The drain notice that comes between the first check and the taking.
 #[test]
 fn an_engine_that_drains_while_the_version_is_stored_has_it_refused() {
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -143,16 +143,17 @@
 
     // The stream breaks in the middle of a version; a length that claims 4 GB; noise.
     let whole = framed(&offering(offer(6, 99, "limits { max_open: 60 }")));
-    let spoilt: [&[u8]; 3] = [&whole[..whole.len() / 2], &[0xff; 8], &[0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff]];
-    for bytes in spoilt {
+    let cuts = [1, 4, 5, whole.len() / 2, whole.len() - 1].map(|cut| &whole[..cut]);
+    let noise: [&[u8]; 2] = [&[0xff; 8], &[0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff]];
+    for bytes in cuts.into_iter().chain(noise) {
         stream.socket.write_all(bytes).unwrap();
-        if bytes.len() == whole.len() / 2 {
+        if cuts.contains(&bytes) {
             stream.socket.shutdown(std::net::Shutdown::Both).unwrap();
         }
         stream = service.accept();
         let version = stream.hello.in_force.as_ref().map_or(0, |version| version.number);
         assert_eq!(version, 5, "the last good one stays");
-        assert_eq!(ask(&proxy, "lookup", u64::from(bytes[0])), "TDC", "and clients are served");
+        assert_eq!(ask(&proxy, "lookup", bytes.len() as u64), "TDC", "and clients are served");
     }
     stream.socket.write_all(&whole).unwrap();
     assert_eq!(stream.answer(), (99, None));
