--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -208,6 +208,19 @@
         })
     }
 
+    /// The version in force, its age, and whether a service is there, in a few words.
+    pub fn standing(&self) -> String {
+        let desk = lock(&self.desk);
+        let service = if self.connected.load(Ordering::Relaxed) { "following" } else { "no service" };
+        match desk.ledger.in_force() {
+            None => format!("no version, {service}"),
+            Some(taken) => {
+                let age = (self.now() - desk.ledger.since()) / 1e3;
+                format!("version {}, in force for {age:.0} s, {service}", taken.version.number)
+            }
+        }
+    }
+
     /// The platform's own file has changed.
     pub fn platform_changed(&self) {
         self.tell(Event::PlatformChanged);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -176,6 +176,15 @@
         Ok(())
     }
 
+    /// What a ready proxy says of itself: also which version of the operators' configuration it serves under, and how
+    /// old that is, as a proxy that cannot reach its service goes on under the last.
+    pub fn standing(&self) -> String {
+        match self.follower.get() {
+            None => "ready\n".into(),
+            Some(follower) => format!("ready; {}\n", follower.standing()),
+        }
+    }
+
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
         !self.draining() && !self.stopping.load(Ordering::Relaxed)
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -176,6 +176,9 @@
     let figures = proxy.figures();
     assert_eq!((in_force(&proxy), &figures["configuration"]["connected"]), (2, &false.into()));
     assert!(figures["configuration"]["age_s"].is_number(), "{figures}");
+    let (_, standing) = proxy.call("GET", "/ops/readiness");
+    assert!(standing.starts_with("ready; version 2, in force for "), "{standing}");
+    assert!(standing.ends_with(" s, no service\n"), "{standing}");
     assert_eq!(ask(&proxy, "lookup", 1), "TDC");
 
     let current = state(&kept).join("current");
@@ -460,3 +463,68 @@
     assert_eq!(control.run(&["nonsense"]).0, 2);
     assert!(control.run(&["completions", "bash"]).1.contains("gaugestep-control"));
 }
+
+/// A few proxies first, then a share, then all; what one of the first turns down goes to nobody else and is taken back.
+#[test]
+fn a_rollout_goes_step_by_step_and_one_that_is_refused_stops_at_the_first() {
+    let (control, kept) = (Control::start(), tempfile::tempdir().unwrap());
+    let engine = Engine::new();
+    let databases = [&engine.database];
+    let proxies: Vec<Proxy> = (0..4)
+        .map(|number| {
+            let operator = Some(control.operator(&kept.path().join(format!("p{number}"))));
+            let name = format!(r#""name":"p{number}""#);
+            let change = |text: String| text.replace(r#""name":"n0""#, &name);
+            Launch { operator, change: &change, ..Launch::new(&databases) }.start()
+        })
+        .collect();
+    until("all are here", || control.json(&["status"])["proxies"].as_array().is_some_and(|it| it.len() == 4));
+    let steps = ["--first", "1", "--share", "0.5", "--hold", "0.3"];
+    let first = control.publish("limits { max_open: 80 }", &steps);
+    let mut seen = std::collections::BTreeSet::new();
+    until("it is in force at all", || {
+        let have = proxies.iter().filter(|proxy| in_force(proxy) == first).count();
+        seen.insert(have);
+        have == 4
+    });
+    assert!(seen.contains(&1) && seen.contains(&2), "{seen:?}");
+    assert_eq!(control.run(&["watch", "--within", "10"]).0, 0);
+
+    let nowhere = r#"routes { name: "r" classes: "lookup" targets { engine: "s-9" } }"#;
+    let bad = control.publish(nowhere, &steps);
+    assert_eq!(control.run(&["watch", &bad.to_string(), "--within", "10"]).0, 3, "halted");
+    until("the one before is back everywhere", || proxies.iter().all(|proxy| in_force(proxy) == bad + 1));
+    let refused: u64 = proxies.iter().map(|proxy| proxy.figure("/configuration/refused").unwrap()).sum();
+    assert_eq!(refused, 1, "only one of the first was ever offered it");
+    let list = control.json(&["list"]);
+    assert_eq!((&list[0]["rolls_back_to"], &list[0]["state"]), (&first.into(), &"complete".into()));
+    assert!(list[1]["halted_for"].as_str().unwrap().contains("not listed: s-9"), "{list}");
+}
+
+/// A long document that changes a little goes as a change, and what the proxy makes of it is the document, whole.
+#[test]
+fn a_small_change_of_a_long_document_is_sent_as_a_change() {
+    let (control, kept) = (Control::start(), tempfile::tempdir().unwrap());
+    let engine = Engine::new();
+    let databases = [&engine.database];
+    let operator = Some(control.operator(&state(&kept)));
+    let mut proxy = Launch { operator, ..Launch::new(&databases) }.start();
+    let route = |class: &str, weight: u64| {
+        let targets = format!("targets {{ zone: \"dc\" weight: {weight} }} targets {{ kind: \"k\" }}");
+        format!("routes {{ name: \"{class}-by-zone\" classes: \"{class}\" {targets} otherwise: ANY }}\n")
+    };
+    for round in 1..=4 {
+        let limits = format!("limits {{ max_open: {} }}", 50 + round);
+        let number = control.publish(&(route("lookup", 2) + &route("load", 3) + &limits), &[]);
+        until("the version is in force", || in_force(&proxy) == number);
+        let digest = control.json(&["show"])["digest"].clone();
+        assert_eq!(proxy.figures()["configuration"]["digest"], digest);
+        assert_eq!(ask(&proxy, "lookup", number), "TDC");
+    }
+    let log = control.log();
+    assert!(log.contains(r#""version":4,"nonce":"#) && log.contains(r#""base":3"#), "{log}");
+    proxy.kill();
+    control.run(&["rollback", "1"]);
+    proxy.restart();
+    until("it comes back, and follows", || in_force(&proxy) == 5);
+}
