--- a/crates/config/src/ledger.rs
+++ b/crates/config/src/ledger.rs
@@ -70,8 +70,6 @@
     Staged(u64, Result<(), String>),
     /// [`Action::Commit`] has ended.
     Committed(u64, Result<(), String>),
-    /// The platform's own file has changed.
-    PlatformChanged,
     /// A stream has ended: its offers need no answer any more.
     StreamEnded(u64),
 }
@@ -212,10 +210,6 @@
             Event::Offered(stream, offer) => self.offered(now, stream, *offer, live, &mut out),
             Event::Staged(number, end) => self.staged(now, number, end, live, &mut out),
             Event::Committed(number, end) => self.committed(now, number, end, live, &mut out),
-            Event::PlatformChanged => {
-                let document = self.in_force.as_ref().map(|taken| taken.document.clone());
-                out.extend(document.map(|document| Action::Apply(Box::new(document))));
-            }
             Event::StreamEnded(stream) => {
                 // Nobody hears of the one that waits: the next stream offers what is newest then.
                 self.next = self.next.take().filter(|(id, _)| id.stream != stream);
--- a/crates/config/src/refusal.rs
+++ b/crates/config/src/refusal.rs
@@ -204,35 +204,13 @@
         }
     }
 
-    /// Whether the same version may be taken later, as only what the proxy looked like just then spoke against it.
-    pub fn passes(&self) -> bool {
-        matches!(
-            self,
-            Refusal::NoUsableEngine { .. }
-                | Refusal::BelowUse { .. }
-                | Refusal::ClassInUse { .. }
-                | Refusal::NotStored(_)
-        )
-    }
-
-    /// Whether it speaks against the version itself, rather than against the way in which it was offered.
-    pub fn of_content(&self) -> bool {
-        !matches!(
-            self,
-            Refusal::WrongBase { .. }
-                | Refusal::NotNewer { .. }
-                | Refusal::Conflicting { .. }
-                | Refusal::Superseded { .. }
-        )
-    }
-
     /// As it goes on the stream.
     pub fn told(&self) -> schema::Refusal {
         schema::Refusal { code: self.code().into(), path: self.path().into(), reason: self.to_string() }
     }
 }
 
-/// Whether an answer of this code speaks against the version itself, see [`Refusal::of_content`].
+/// Whether an answer of this code speaks against the version itself, rather than against the way in which it was offered.
 pub fn code_of_content(code: &str) -> bool {
     !matches!(code, "wrong-base" | "not-newer" | "conflicting" | "superseded")
 }
--- a/crates/config/tests/ledger.rs
+++ b/crates/config/tests/ledger.rs
@@ -51,7 +51,6 @@
     },
     Drain(bool),
     Open(u64),
-    Retune,
     Reconnect,
     /// The process ends; the store operation under way may have been done by then.
     Crash {
@@ -65,7 +64,6 @@
         6 => prop::bool::weighted(0.15).prop_map(|fails| Step::EndStore { fails }),
         2 => any::<bool>().prop_map(Step::Drain),
         1 => (0u64..200).prop_map(Step::Open),
-        1 => Just(Step::Retune),
         1 => Just(Step::Reconnect),
         1 => any::<bool>().prop_map(|stored| Step::Crash { stored }),
     ]
@@ -242,7 +240,6 @@
                     let draining = world.live.engines.as_ref().is_some_and(|it| it[1].state == State::Draining);
                     world.live = live(draining, open);
                 }
-                Step::Retune => world.tell(Event::PlatformChanged),
                 Step::Reconnect => world.reconnect(),
                 Step::Crash { stored } => world.crash(stored),
             }
--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -6,7 +6,7 @@
 use crate::commands::{self, Connect, Out, PublishArgs};
 use crate::service::{Service, Settings};
 use clap::{CommandFactory as _, Parser, Subcommand};
-use gaugestep_config::{schema, text};
+use gaugestep_config::schema;
 
 /// Versions of the operators' configuration: the service that streams them, and commands to operate it.
 #[derive(Parser)]
@@ -132,9 +132,7 @@
 
 fn serve(path: &std::path::Path, json: bool) -> Result<(), String> {
     use signal_hook::consts::{SIGINT, SIGTERM};
-    let told = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    let told: schema::Service =
-        text::read("Service", &told).map_err(|error| format!("{}: {error}", path.display()))?;
+    let told: schema::Service = crate::read_file("Service", path)?;
     let settings = Settings::of(&told).map_err(|error| format!("{}: {error}", path.display()))?;
     let filter = tracing_subscriber::EnvFilter::try_from_env("GAUGESTEP_LOG")
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info,may=warn"));
--- a/crates/control/src/commands.rs
+++ b/crates/control/src/commands.rs
@@ -6,6 +6,7 @@
 
 use crate::call::Service;
 use crate::keys::Files;
+use crate::read_file;
 use clap::Args;
 use gaugestep_config::schema::entry::State;
 use gaugestep_config::schema::{
@@ -119,8 +120,7 @@
 }
 
 fn read(path: &Path) -> Result<Document, String> {
-    let told = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    text::parse(&told).map_err(|error| format!("{}: {error}", path.display()))
+    read_file("Document", path)
 }
 
 /// Says whether a document can be used.
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -118,8 +118,6 @@
     started: Instant,
     connected: AtomicBool,
     refused: AtomicU64,
-    /// The store belongs to another process, as while this one takes over from it.
-    unheld: AtomicBool,
 }
 
 impl Follower {
@@ -157,7 +155,6 @@
             started: Instant::now(),
             connected: AtomicBool::new(false),
             refused: AtomicU64::new(0),
-            unheld: AtomicBool::new(slots.is_none()),
             settings,
         });
         let storing = follower.clone();
@@ -222,11 +219,6 @@
         }
     }
 
-    /// The platform's own file has changed.
-    pub fn platform_changed(&self) {
-        self.tell(Event::PlatformChanged);
-    }
-
     /// Tells the ledger of something, and carries out what it wants done.
     fn tell(&self, event: Event) {
         let mut event = Some(event);
@@ -281,7 +273,6 @@
             }
             if slots.is_none() {
                 slots = Slots::open(&self.settings.state, LONGEST_DOCUMENT + AROUND).ok();
-                self.unheld.store(slots.is_none(), Ordering::Relaxed);
             }
             let held = slots.as_ref().ok_or_else(|| "another process holds the store".to_owned());
             match job {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,9 +14,13 @@
 pub mod keys;
 pub mod service;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::path::Path;
 
-/// Locks for a moment; never held over anything that waits.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+use gaugestep_coio::lock;
+use gaugestep_config::text;
+
+/// Reads a message of this name from a file of protobuf text format; the error is one plain line that names the file.
+pub fn read_file<M: prost::Message + Default>(name: &str, path: &Path) -> Result<M, String> {
+    let told = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    text::read(name, &told).map_err(|error| format!("{}: {error}", path.display()))
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -321,8 +321,7 @@
             halted_for: String::new(),
         };
         let stored = Stored { number, entry: entry.encode_to_vec(), document: document.encode_to_vec() };
-        store.publish(&stored, &needed)?;
-        let kept: Vec<u64> = store.all()?.iter().map(|stored| stored.number).collect();
+        let kept = store.publish(&stored, &needed)?;
         tracing::info!(version = number, digest = short(&version.digest), rolls_back_to, "published");
         let mut inner = lock(&self.inner);
         inner.held.retain(|number, _| kept.contains(number));
--- a/crates/plan/tests/fleet.rs
+++ b/crates/plan/tests/fleet.rs
@@ -260,28 +260,25 @@
         !cut && !self.one_in(400)
     }
 
-    fn to_planner(&mut self, forwarder: usize, planner: usize, message: Message) {
+    /// Puts a message between a forwarder and a planner on its way, unless it is lost; now and then twice.
+    fn post(&mut self, forwarder: usize, planner: usize, what: &What) {
         if !self.hears(forwarder, planner) {
             return;
         }
-        let life = self.planners[planner].life;
         for _ in 0..if self.one_in(50) { 2 } else { 1 } {
             let wait = self.way();
-            let message = message.clone();
-            self.after(wait, What::ToPlanner { planner, life, from: forwarder, message });
+            self.after(wait, what.clone());
         }
     }
 
-    fn to_forwarder(&mut self, planner: usize, forwarder: usize, message: Message) {
-        if !self.hears(forwarder, planner) {
-            return;
-        }
+    fn tell_planner(&mut self, forwarder: usize, planner: usize, message: Message) {
+        let life = self.planners[planner].life;
+        self.post(forwarder, planner, &What::ToPlanner { planner, life, from: forwarder, message });
+    }
+
+    fn tell_forwarder(&mut self, planner: usize, forwarder: usize, message: Message) {
         let life = self.forwarders[forwarder].life;
-        for _ in 0..if self.one_in(50) { 2 } else { 1 } {
-            let wait = self.way();
-            let message = message.clone();
-            self.after(wait, What::ToForwarder { forwarder, life, from: planner, message });
-        }
+        self.post(forwarder, planner, &What::ToForwarder { forwarder, life, from: planner, message });
     }
 
     fn step(&mut self, what: What) {
@@ -398,14 +395,14 @@
             let epoch = here.guard.owner().map_or(0, |(_, epoch)| epoch);
             here.follows = None;
             here.guard.forsake();
-            self.to_planner(forwarder, planner, Message::Leave { epoch });
+            self.tell_planner(forwarder, planner, Message::Leave { epoch });
         }
         let here = &mut self.forwarders[forwarder];
         match here.follows {
             Some(planner) if now - here.asked_at >= RENEW_EVERY => {
                 here.asked_at = now;
                 let epoch = here.guard.owner().map_or(0, |(_, epoch)| epoch);
-                self.to_planner(forwarder, planner, Message::Renew { epoch, asked: now });
+                self.tell_planner(forwarder, planner, Message::Renew { epoch, asked: now });
             }
             Some(_) => {}
             None if here.asking.is_none() => {
@@ -415,7 +412,7 @@
                         let epoch = here.guard.follow(planner_name(planner), now, 0.0);
                         here.asking = Some((planner, epoch, now));
                         here.alone = false;
-                        self.to_planner(forwarder, planner, Message::Attach { epoch, asked: now });
+                        self.tell_planner(forwarder, planner, Message::Attach { epoch, asked: now });
                     }
                     None if !here.alone => {
                         here.guard.follow(PlannerId("itself".into()), now, 1e12);
@@ -494,7 +491,7 @@
                 Act::Tell { epoch, what } => {
                     self.vetoes += u32::from(matches!(what, Tell::Vetoed { .. }));
                     if let Some(planner) = self.forwarders[forwarder].follows {
-                        self.to_planner(forwarder, planner, Message::Tell { epoch, what });
+                        self.tell_planner(forwarder, planner, Message::Tell { epoch, what });
                     }
                 }
                 Act::Weigh { .. } => {}
@@ -529,11 +526,11 @@
         match message {
             Message::Attach { epoch, asked } => {
                 let how = here.book.attach(now, &name, epoch);
-                self.to_forwarder(planner, forwarder, Message::Welcome { epoch, asked, how });
+                self.tell_forwarder(planner, forwarder, Message::Welcome { epoch, asked, how });
             }
             Message::Renew { epoch, asked } => {
                 if here.book.renew(now, &name, epoch) {
-                    self.to_forwarder(planner, forwarder, Message::Renewed { epoch, asked });
+                    self.tell_forwarder(planner, forwarder, Message::Renewed { epoch, asked });
                 }
             }
             Message::Leave { epoch } => here.book.left(&name, epoch),
@@ -611,7 +608,7 @@
                 _ => continue,
             };
             let (forwarder, epoch, id) = key;
-            self.to_forwarder(planner, forwarder, Message::Ordered { epoch, id, order });
+            self.tell_forwarder(planner, forwarder, Message::Ordered { epoch, id, order });
         }
     }
 
@@ -874,7 +871,7 @@
 
 #[test]
 fn two_hundred_fleets_with_dying_planners_keep_every_rule() {
-    assert!(FORGET_AFTER > LEASE);
+    const { assert!(FORGET_AFTER > LEASE) };
     let threads = std::thread::available_parallelism().map_or(2, usize::from) as u64;
     let run = |first: u64| (first..200).step_by(threads as usize).map(seen).collect::<Vec<Seen>>();
     let all: Vec<Seen> = std::thread::scope(|scope| {
--- a/crates/store/src/versions.rs
+++ b/crates/store/src/versions.rs
@@ -66,10 +66,10 @@
     }
 
     /// Keeps a new version. Versions that are older than those to be kept, and that `needed` does not name, are let go
-    /// in the same transaction: the store does not grow without bound.
-    pub fn publish(&self, version: &Stored, needed: &[u64]) -> Result<(), Error> {
+    /// in the same transaction: the store does not grow without bound. The numbers that are kept, in order.
+    pub fn publish(&self, version: &Stored, needed: &[u64]) -> Result<Vec<u64>, Error> {
         let writing = self.database.begin_write().map_err(told)?;
-        {
+        let kept = {
             let mut documents = writing.open_table(DOCUMENTS).map_err(told)?;
             let mut entries = writing.open_table(ENTRIES).map_err(told)?;
             if let Some((newest, _)) = documents.last().map_err(told)? {
@@ -83,14 +83,18 @@
             for item in documents.iter().map_err(told)? {
                 numbers.push(item.map_err(told)?.0.value());
             }
-            for number in &numbers[..numbers.len().saturating_sub(self.most)] {
-                if !needed.contains(number) {
-                    documents.remove(number).map_err(told)?;
-                    entries.remove(number).map_err(told)?;
-                }
+            let newest = numbers.split_off(numbers.len().saturating_sub(self.most));
+            let (mut kept, gone): (Vec<u64>, Vec<u64>) =
+                numbers.into_iter().partition(|number| needed.contains(number));
+            for number in gone {
+                documents.remove(number).map_err(told)?;
+                entries.remove(number).map_err(told)?;
             }
-        }
-        writing.commit().map_err(told)
+            kept.extend(newest);
+            kept
+        };
+        writing.commit().map_err(told)?;
+        Ok(kept)
     }
 
     /// Keeps what has become known of a version.
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -5,12 +5,13 @@
 //! Nothing is decided here.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::Thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use gaugestep::interface::*;
 use gaugestep::{Action, Dispatcher, Event, Settings};
+use gaugestep_coio::lock;
 use may::sync::mpsc::{Receiver, Sender, channel};
 
 /// What reaches a request's coroutine. `Back` is whatever the databases' side has to say of an attempt.
@@ -175,10 +176,6 @@
     ticker: Mutex<(Option<Thread>, u64)>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl<Back> Facade<Back> {
     /// A facade of a new dispatcher whose clock starts now.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -146,9 +146,7 @@
 
 /// What an operator's file says of a control service.
 fn control(path: &Path) -> Result<Option<Control>, String> {
-    let told = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    let told: Operator = gaugestep_config::text::read("Operator", &told)
-        .map_err(|error| format!("{}: {error}", path.display()))?;
+    let told: Operator = gaugestep_control::read_file("Operator", path)?;
     Ok(told.control)
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,9 +13,9 @@
 pub mod server;
 pub mod versions;
 
-pub use gaugestep_coio::{stream, task};
+pub use gaugestep_coio::{lock, stream, task};
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use gaugestep::interface::{Cost, LoadReport, NewRequest, Note, Refusal};
 
@@ -82,8 +82,3 @@
 pub type Mail = Letter<News>;
 /// Where such letters go.
 pub type Post = may::sync::mpsc::Sender<Mail>;
-
-/// Locks for a moment; never held over anything that waits.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -162,9 +162,6 @@
             let _changes = lock(&self.gateway.changes);
             self.versioned.retell(told);
         }
-        if let Some(follower) = self.follower.get() {
-            follower.platform_changed();
-        }
         self.roster.know(config.known_index, &config.known);
         self.roster.move_to(config.coordinator);
     }
