Log each refusal with its reason at debug, and the log filter at start

Change: a debug line for each answer that is not served, with id, class and reason; the start line names GAUGESTEP_LOG. No decision changes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -120,7 +120,8 @@
     if let Some(address) = management {
         net::ops::open(address, server.clone())?;
     }
-    tracing::info!(name, "serving");
+    let log = std::env::var("GAUGESTEP_LOG").unwrap_or_default();
+    tracing::info!(name, log, "serving");
     for signal in signals.forever() {
         if signal == SIGHUP {
             match Config::reload(path, &shape) {
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -76,10 +76,17 @@
     /// Gives the final answer; a second one is impossible.
     fn answer(&mut self, answer: Answer) {
         let Some(give) = self.answer.take() else { return };
+        let (id, class) = (&*self.query.new.id.0, self.query.new.class.0);
         match answer {
             Answer::Served(_) => self.query.class.succeeded(),
-            Answer::Refused(..) => self.query.class.declined(),
-            Answer::Failed | Answer::Duplicate => self.query.class.aborted(),
+            Answer::Refused(_, reason) => {
+                tracing::debug!(id, class, ?reason, "refused");
+                self.query.class.declined();
+            }
+            Answer::Failed | Answer::Duplicate => {
+                tracing::debug!(id, class, "failed");
+                self.query.class.aborted();
+            }
         }
         give(answer);
     }
