Keep each request's number beside its work in the fleet test, not parsed from its id

Found on reading the change again: tests/fleet.rs parsed the number of a sent request back out of its id string, though it had the number when the request arrived. The map now holds work and number by id.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -36,7 +36,8 @@
         desk.tell(Event::EngineList(vec![EngineEntry { started: Some(start - 10.0), ..entry(0) }]));
         let mut random = oorandom::Rand64::new(u128::from(seed) + 1_000);
         let mut running: Vec<(Millis, u32)> = Vec::new();
-        let mut estimates = BTreeMap::new();
+        // Each request's work and number, by its id.
+        let mut requests = BTreeMap::new();
         let mut number = 0;
         let mut step = 0;
         while desk.now < start + length {
@@ -44,7 +45,7 @@
             for (work, chance) in [(LIGHT, STEP / 200.0), (HEAVY, STEP / 1_000.0)] {
                 if random.rand_float() < chance {
                     number += 1;
-                    estimates.insert(id(number), work);
+                    requests.insert(id(number), (work, number));
                     let class = usize::from(work == HEAVY);
                     let new = NewRequest { estimate: work, ..request(number, class, desk.now + 10_000.0) };
                     actions.extend(desk.arrive(new));
@@ -53,16 +54,15 @@
             let (done, going): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, _)| *end <= desk.now);
             running = going;
             for (_, ended) in done {
-                actions.extend(desk.end(ended, 0, EngineId(0), Outcome::Served, estimates[&id(ended)]));
+                actions.extend(desk.end(ended, 0, EngineId(0), Outcome::Served, requests[&id(ended)].0));
             }
             actions.extend(desk.wait(STEP));
             for action in actions {
                 if let Action::Send { id: sent, engine: EngineId(0) } = action {
-                    let work = estimates[&sent];
+                    let (work, number) = requests[&sent];
                     *played.work.entry(step).or_default() += work;
                     let count = if work == HEAVY { &mut played.heavy } else { &mut played.light };
                     *count += 1;
-                    let number = sent.0.trim_start_matches("request-").parse().unwrap();
                     running.push((desk.now + work, number));
                 }
             }
