--- a/crates/config/build.rs
+++ b/crates/config/build.rs
@@ -7,7 +7,8 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let root = PathBuf::from(std::env::var("CARGO_MANIFEST_DIR")?).join("../../proto");
     println!("cargo:rerun-if-changed={}", root.display());
-    let files = ["document", "base", "group", "stream", "operator"].map(|name| format!("gaugestep/config/v1/{name}.proto"));
+    let files = ["document", "base", "group", "stream", "operator"]
+        .map(|name| format!("gaugestep/config/v1/{name}.proto"));
     let compiled = protox::compile(files, [root])?;
     let out = PathBuf::from(std::env::var("OUT_DIR")?);
     std::fs::write(out.join("schema.bin"), compiled.encode_to_vec())?;
--- a/crates/config/src/refusal.rs
+++ b/crates/config/src/refusal.rs
@@ -43,6 +43,13 @@
         /// The newer one.
         by: u64,
     },
+    /// It is of an owner that is not the present one any more, or of none.
+    StaleTerm {
+        /// Its term.
+        term: u64,
+        /// The highest term that was seen.
+        seen: u64,
+    },
     /// It could not be stored, and would be lost with the process.
     NotStored(String),
 
@@ -162,6 +169,7 @@
             Refusal::NotNewer { .. } => "not-newer",
             Refusal::Conflicting { .. } => "conflicting",
             Refusal::Superseded { .. } => "superseded",
+            Refusal::StaleTerm { .. } => "stale-term",
             Refusal::NotStored(_) => "not-stored",
             Refusal::Missing { .. } => "missing",
             Refusal::OutOfRange { .. } => "out-of-range",
@@ -188,6 +196,7 @@
             | Refusal::NotNewer { .. }
             | Refusal::Conflicting { .. }
             | Refusal::Superseded { .. }
+            | Refusal::StaleTerm { .. }
             | Refusal::NotStored(_) => "",
             Refusal::Missing { path }
             | Refusal::OutOfRange { path, .. }
@@ -212,7 +221,7 @@
 
 /// Whether an answer of this code speaks against the version itself, rather than against the way in which it was offered.
 pub fn code_of_content(code: &str) -> bool {
-    !matches!(code, "wrong-base" | "not-newer" | "conflicting" | "superseded")
+    !matches!(code, "wrong-base" | "not-newer" | "conflicting" | "superseded" | "stale-term")
 }
 
 /// Names in a list, as people read them.
@@ -241,6 +250,10 @@
                 write!(f, "another version {number} is in force: two services number their own versions")
             }
             Refusal::Superseded { by } => write!(f, "version {by} came before this one was in force"),
+            Refusal::StaleTerm { term: 0, .. } => write!(f, "it names no term, so no owner stands behind it"),
+            Refusal::StaleTerm { term, seen } => {
+                write!(f, "it is of term {term}, and an owner of term {seen} was seen")
+            }
             Refusal::NotStored(why) => write!(f, "could not be stored: {why}"),
             Refusal::Missing { path } => write!(f, "'{path}' is missing"),
             Refusal::OutOfRange { path, value, least, most } => {
--- a/crates/config/src/rollout.rs
+++ b/crates/config/src/rollout.rs
@@ -13,7 +13,7 @@
 
 use crate::refusal::code_of_content;
 use crate::schema::entry::State;
-use crate::schema::{Plan, Refusal, Version};
+use crate::schema::{Plan, Progress, Refusal, Version};
 
 /// A proxy that has not answered an offer after this many milliseconds counts as if it had turned it down.
 pub const ANSWER_WITHIN: f64 = 10_000.0;
@@ -52,6 +52,8 @@
         known: bool,
         /// Its build.
         build: String,
+        /// For how many milliseconds it has had the version in force.
+        age: f64,
     },
     /// A stream has ended.
     Left {
@@ -127,9 +129,9 @@
 /// How far a rollout is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
-    First,
-    Share,
-    All,
+    First = 0,
+    Share = 1,
+    All = 2,
 }
 
 #[derive(Debug)]
@@ -146,6 +148,8 @@
     /// Requests served and not served by proxies on it, and meanwhile by the others.
     on: Counts,
     off: Counts,
+    /// When this service took it over: proxies of the step that it has not met yet may be on their way to it.
+    resumed: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -217,6 +221,44 @@
         rollout
     }
 
+    /// What the next owner of the versions needs beside the versions: how far the one on its way has come, and what counts
+    /// against it. None where it would find all of it by itself.
+    pub fn progress(&self) -> Option<Progress> {
+        let (number, version) = self.versions.iter().next_back()?;
+        let staged = version.plan.first > 0 || version.plan.share > 0.0;
+        if version.state != State::Rolling || !staged && version.against.is_empty() {
+            return None;
+        }
+        let (on, off) = (version.on, version.off);
+        Some(Progress {
+            number: *number,
+            step: version.step as u32,
+            chosen: version.chosen.iter().cloned().collect(),
+            against: version.against.iter().map(|(name, why)| (name.clone(), why.clone())).collect(),
+            counts: vec![on.served, on.unserved, off.served, off.unserved],
+        })
+    }
+
+    /// Goes on where the last owner stood.
+    pub fn resume(&mut self, now: f64, progress: Progress) {
+        let Some(version) = self.versions.get_mut(&progress.number) else { return };
+        if version.state != State::Rolling {
+            return;
+        }
+        version.step = match progress.step {
+            0 => Step::First,
+            1 => Step::Share,
+            _ => Step::All,
+        };
+        version.resumed = now;
+        version.chosen = progress.chosen.into_iter().collect();
+        version.against = progress.against.into_iter().collect();
+        if let [served, unserved, others, unserved_others] = progress.counts[..] {
+            version.on = Counts { served, unserved };
+            version.off = Counts { served: others, unserved: unserved_others };
+        }
+    }
+
     /// The number for the next version: above all that were published here or are in force anywhere. Guards a service
     /// that was restored from an older backup: its own next number would be refused everywhere.
     pub fn next_number(&self) -> u64 {
@@ -265,8 +307,8 @@
                 let plan = if back { Plan::default() } else { plan };
                 self.versions.insert(number, Rolling { back, ..Rolling::new(plan, State::Rolling) });
             }
-            Event::Hello { proxy, stream, in_force, known, build } => {
-                self.hello(now, proxy, stream, in_force, known, build);
+            Event::Hello { proxy, stream, in_force, known, build, age } => {
+                self.hello(now - age.max(0.0), now, proxy, stream, in_force, known, build);
             }
             Event::Left { proxy, stream } => {
                 if let Some(known) = self.proxies.get_mut(&proxy).filter(|it| it.stream == Some(stream)) {
@@ -287,8 +329,12 @@
         out
     }
 
+    /// `since`: when the proxy took the version that it has in force, by its own word, so that a step that has held goes on
+    /// holding behind another service.
+    #[allow(clippy::too_many_arguments)]
     fn hello(
         &mut self,
+        since: f64,
         now: f64,
         name: String,
         stream: u64,
@@ -299,15 +345,12 @@
         let number = in_force.map_or(0, |version| version.number);
         self.highest_seen = self.highest_seen.max(number);
         let proxy = self.proxies.entry(name).or_default();
-        if proxy.in_force != number || proxy.stream.is_none() {
-            proxy.since = now;
-        }
         // A restarted proxy may take what it turned down: only what it looked like then spoke against it.
         *proxy = Proxy {
             stream: Some(stream),
             build,
             in_force: number,
-            since: proxy.since,
+            since,
             heard: now,
             ahead: number > 0 && !known,
             refused: proxy.refused.take(),
@@ -458,6 +501,10 @@
             Step::Share => version.plan.share <= 0.0,
             Step::All => true,
         };
+        let unmet = version.chosen.iter().any(|name| !self.proxies.contains_key(name));
+        if !skipped && unmet && now - version.resumed < BACK_WITHIN {
+            return false;
+        }
         let mut connected = version.chosen.iter().filter_map(|name| self.proxies.get(name));
         // A step of nobody proves nothing.
         let somebody = version.chosen.iter().any(|name| self.proxies.contains_key(name));
@@ -528,6 +575,7 @@
             against: BTreeMap::new(),
             on: Counts::default(),
             off: Counts::default(),
+            resumed: f64::NEG_INFINITY,
         }
     }
 
@@ -579,7 +627,8 @@
         fn hello(&mut self, proxy: u64, stream: u64, number: u64) -> Vec<Action> {
             let in_force = (number > 0).then(|| Version { number, digest: vec![1] });
             let known = self.rollout.state(number).is_some();
-            self.tell(Event::Hello { proxy: name(proxy), stream, in_force, known, build: "b".into() })
+            let (proxy, build) = (name(proxy), "b".into());
+            self.tell(Event::Hello { proxy, stream, in_force, known, build, age: 0.0 })
         }
 
         fn publish(&mut self, number: u64, plan: Plan) -> Vec<Action> {
@@ -634,6 +683,45 @@
         assert_eq!(offers(&fleet.hello(20, 20, 0), 1), 1, "a newcomer gets it at once");
     }
 
+    /// Another service takes the rollout over in its second step: it goes on there, with what counts against it and the
+    /// time for which the step has held.
+    #[test]
+    fn a_successor_goes_on_in_the_step_it_finds() {
+        let mut fleet = Fleet::new(10);
+        let plan = Plan { refusals: Some(2), ..staged() };
+        let first = fleet.publish(1, plan);
+        let chosen: Vec<String> = first
+            .iter()
+            .map(|it| match it {
+                Action::Offer { proxy, .. } => proxy.clone(),
+                other => panic!("{other:?}"),
+            })
+            .collect();
+        fleet.answer(first[..1].to_vec(), None);
+        fleet.answer(first[1..].to_vec(), Some("no-usable-engine"));
+        fleet.now = 1_000.0;
+        let share = fleet.tell(Event::Tick);
+        fleet.answer(share.clone(), None);
+        assert!(!share.is_empty());
+        let progress = fleet.rollout.progress().unwrap();
+        assert_eq!((progress.step, progress.against.len()), (1, 1));
+        let mut next = Fleet { rollout: Rollout::recover([(1, plan, State::Rolling, 0)]), now: 50.0 };
+        next.rollout.resume(50.0, progress.clone());
+        for proxy in 0..10 {
+            let have = progress.chosen.contains(&name(proxy)) && name(proxy) != chosen[1];
+            let (in_force, build) = (have.then(|| Version { number: 1, digest: vec![1] }), "b".into());
+            let (proxy, age) = (name(proxy), 900.0);
+            next.tell(Event::Hello { proxy, stream: 0, in_force, known: true, build, age });
+        }
+        let before = next.rollout.progress().unwrap();
+        assert_eq!((before.step, before.against.len()), (1, 1), "no step back, nothing forgotten");
+        assert_eq!(offers(&next.tell(Event::Tick), 1), 0, "the step has held for 900 of 1,000 ms");
+        next.now += 100.0;
+        let refused = name((0..10).find(|it| name(*it) == chosen[1]).unwrap());
+        next.rollout.proxies.get_mut(&refused).unwrap().passed_over = 1;
+        assert!(offers(&next.tell(Event::Tick), 1) > 0, "and goes on once it has held for all of them");
+    }
+
     #[test]
     fn a_refusal_halts_and_brings_the_last_complete_version_back_under_a_new_number() {
         let mut fleet = Fleet::new(10);
--- a/crates/config/tests/ledger.rs
+++ b/crates/config/tests/ledger.rs
@@ -172,7 +172,7 @@
         let id = OfferId { stream: self.stream, nonce: self.nonce };
         self.answers.insert(id, 0);
         let (version, nonce) = (Some(told), self.nonce);
-        let offer = Offer { version, nonce, content, rolls_back_to: 0 };
+        let offer = Offer { version, nonce, content, rolls_back_to: 0, term: 1 };
         self.tell(Event::Offered(self.stream, Box::new(offer)));
     }
 
@@ -280,6 +280,7 @@
         nonce: 9,
         content: Some(Content::Snapshot(document)),
         rolls_back_to: 1,
+        term: 1,
     };
     let whole = offer.encode_to_vec();
     let mut messages = 0;
@@ -308,6 +309,7 @@
         nonce: 1,
         content: Some(Content::Snapshot(document)),
         rolls_back_to: 0,
+        term: 1,
     };
     let begun = ledger.handle(0.0, Event::Offered(0, Box::new(offer)), &live(false, 0));
     assert!(matches!(begun[..], [Action::Stage(1, _)]), "{begun:?}");
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -1,9 +1,9 @@
 //! An operator's call to a service, from a command: one connection, one reply. Blocks its thread.
 
-use std::io::{self, Read as _, Write as _};
+use std::io::{self, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gaugestep_config::schema::{
     Call, FromClient, FromService, Reply, call, from_client, from_service, reply,
@@ -15,15 +15,17 @@
 use crate::frame;
 use crate::keys::{self, ClientKeys, Files};
 
-/// How long a call may take.
-const WITHIN: Duration = Duration::from_secs(15);
+/// How long one try may take, and how long a call is tried at all while nobody can carry it out.
+const WITHIN: Duration = Duration::from_secs(5);
+/// Between two tries.
+const PAUSE: Duration = Duration::from_millis(100);
 
-/// A service as a command reaches it.
+/// The services as a command reaches them.
 #[derive(Clone, Debug)]
 pub struct Service {
-    /// Its address for operators.
-    pub address: SocketAddr,
-    /// Keys, and the name that its certificate carries.
+    /// Their addresses for operators, tried in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// Keys, and the name that their certificates carry.
     pub keys: Option<(Files, String)>,
 }
 
@@ -31,50 +33,106 @@
 impl<T: io::Read + io::Write> Talk for T {}
 
 impl Service {
-    /// Calls, and waits for the reply; an error is one plain line, the service's own among them.
-    pub fn call(&self, what: call::What) -> Result<reply::What, String> {
-        keys::allowed(self.address, self.keys.is_some())?;
-        let told = self.talk(what).map_err(|error| format!("{}: {error}", self.address))?;
-        match told.what {
-            Some(reply::What::Error(error)) => Err(error),
-            Some(what) => Ok(what),
-            None => Err("the service's reply says nothing that this build knows".into()),
+    /// Calls, follows to whoever can carry it out, and waits for the reply; an error is one plain line, the service's own
+    /// among them. Where nobody can, that is said within some seconds. What may have been carried out unheard is tried
+    /// again only if `again` says that this does no harm.
+    pub fn call(&self, what: &call::What, again: bool) -> Result<reply::What, String> {
+        for address in &self.addresses {
+            keys::allowed(*address, self.keys.is_some())?;
         }
-    }
-
-    fn talk(&self, what: call::What) -> io::Result<Reply> {
-        let wrong =
-            |error: &dyn std::fmt::Display| io::Error::new(io::ErrorKind::InvalidData, error.to_string());
-        let socket = TcpStream::connect_timeout(&self.address, WITHIN)?;
-        socket.set_nodelay(true)?;
-        socket.set_read_timeout(Some(WITHIN))?;
-        socket.set_write_timeout(Some(WITHIN))?;
-        let mut stream: Box<dyn Talk> = match &self.keys {
-            None => Box::new(socket),
-            Some((files, name)) => {
-                let config = ClientKeys::connect(files.clone()).map_err(io::Error::other)?.now();
-                let name = ServerName::try_from(name.clone()).map_err(|error| wrong(&error))?;
-                let tls = ClientConnection::new(Arc::clone(&config), name).map_err(|error| wrong(&error))?;
-                Box::new(StreamOwned::new(tls, socket))
+        let (began, mut turns) = (Instant::now(), self.addresses.iter().cycle().copied());
+        let mut next = turns.next();
+        let mut last = "no service is named".to_owned();
+        let mut tries = 0;
+        while let Some(address) = next.take() {
+            let left = WITHIN.saturating_sub(began.elapsed());
+            if left.is_zero() {
+                break;
             }
-        };
-        let call = Call { what: Some(what) };
-        stream.write_all(&frame::encode(&FromClient { said: Some(from_client::Said::Call(call)) }))?;
-        stream.flush()?;
-        let mut input = Vec::new();
-        let mut chunk = [0; 16 * 1024];
-        loop {
-            if let Some((body, _)) = frame::first(&input).map_err(|error| wrong(&error))? {
-                let message = FromService::decode(body).map_err(|error| wrong(&error))?;
-                return match message.said {
-                    Some(from_service::Said::Reply(reply)) => Ok(reply),
-                    _ => Err(wrong(&"no reply to the call")),
-                };
+            tries += 1;
+            match self.talk(what, address, left) {
+                Ok(Some(reply::What::Error(error))) => return Err(error),
+                Ok(Some(reply::What::Owner(owner)))
+                    if keys::allowed_text(&owner.operators, self.keys.is_some()) =>
+                {
+                    last = format!(
+                        "member {} at {} owns it, and cannot be reached",
+                        owner.member, owner.operators
+                    );
+                    // A service that still names the one that is gone is asked again, not for ever.
+                    next = owner.operators.parse().ok().filter(|_| tries % 2 == 1);
+                }
+                Ok(Some(reply::What::Owner(_))) => last = "the owner's address is none".into(),
+                Ok(Some(reply::What::Later(why))) => last = why,
+                Ok(Some(what)) => return Ok(what),
+                Ok(None) => return Err("the service's reply says nothing that this build knows".into()),
+                Err((sent, error)) => {
+                    last = format!("{address}: {error}");
+                    if sent && !again {
+                        return Err(format!("{last}; it may have been carried out all the same"));
+                    }
+                    if self.addresses.len() == 1 && !sent && address == self.addresses[0] {
+                        return Err(last);
+                    }
+                }
             }
-            match stream.read(&mut chunk)? {
-                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-                read => input.extend_from_slice(&chunk[..read]),
+            if next.is_none() {
+                std::thread::sleep(PAUSE);
+                next = turns.next();
             }
         }
+        Err(last)
+    }
+
+    /// One try; an error says whether the call had been sent by then.
+    fn talk(
+        &self,
+        what: &call::What,
+        address: SocketAddr,
+        within: Duration,
+    ) -> Result<Option<reply::What>, (bool, io::Error)> {
+        let mut stream = self.connect(address, within).map_err(|error| (false, error))?;
+        let call = Call { what: Some(what.clone()) };
+        let said = frame::encode(&FromClient { said: Some(from_client::Said::Call(call)) });
+        let mut ask = || {
+            stream.write_all(&said)?;
+            stream.flush()?;
+            read(&mut *stream)
+        };
+        ask().map(|reply: Reply| reply.what).map_err(|error| (true, error))
+    }
+
+    fn connect(&self, address: SocketAddr, within: Duration) -> io::Result<Box<dyn Talk>> {
+        let socket = TcpStream::connect_timeout(&address, within)?;
+        socket.set_nodelay(true)?;
+        socket.set_read_timeout(Some(within))?;
+        socket.set_write_timeout(Some(within))?;
+        let Some((files, name)) = &self.keys else { return Ok(Box::new(socket)) };
+        let config = ClientKeys::connect(files.clone()).map_err(io::Error::other)?.now();
+        let name = ServerName::try_from(name.clone()).map_err(wrong)?;
+        let tls = ClientConnection::new(Arc::clone(&config), name).map_err(wrong)?;
+        Ok(Box::new(StreamOwned::new(tls, socket)))
+    }
+}
+
+fn wrong(error: impl std::fmt::Display) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error.to_string())
+}
+
+fn read(stream: &mut dyn Talk) -> io::Result<Reply> {
+    let mut input = Vec::new();
+    let mut chunk = [0; 16 * 1024];
+    loop {
+        if let Some((body, _)) = frame::first(&input).map_err(wrong)? {
+            let message = FromService::decode(body).map_err(wrong)?;
+            return match message.said {
+                Some(from_service::Said::Reply(reply)) => Ok(reply),
+                _ => Err(wrong("no reply to the call")),
+            };
+        }
+        match stream.read(&mut chunk)? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            read => input.extend_from_slice(&chunk[..read]),
+        }
     }
 }
--- /dev/null
+++ b/crates/control/src/calls.rs
@@ -0,0 +1,328 @@
+//! Operators' calls: one on each connection, one reply.
+
+use std::io;
+use std::time::Instant;
+
+use gaugestep_config::schema::act::What;
+use gaugestep_config::schema::{
+    Act, Call, Declare, Done, Fleet, FromClient, FromService, HandOver, NewVersion, Plan, Proxy, Published,
+    Reply, Shown, Versions, call, from_client, from_service, reply,
+};
+use gaugestep_duty::VERSIONS;
+use gaugestep_duty::charter::{Outcome, RAISED_BY};
+use may::net::TcpStream;
+
+use crate::channel::Channel;
+use crate::driving::unix_ms;
+use crate::service::{Line, NAME, SILENCE, Service};
+use crate::{clock, lock};
+
+/// Operators' calls open together.
+const CALLS: usize = 64;
+/// Bytes of what an operator writes about a version.
+const WORDS: usize = 4_096;
+
+pub(crate) fn reply(what: reply::What) -> Reply {
+    Reply { what: Some(what) }
+}
+
+fn error(why: impl Into<String>) -> Reply {
+    reply(reply::What::Error(why.into()))
+}
+
+fn later(why: impl Into<String>) -> Reply {
+    reply(reply::What::Later(why.into()))
+}
+
+impl Service {
+    /// An operator's connection: one call, one reply.
+    pub(crate) fn operator(&self, stream: TcpStream) -> io::Result<()> {
+        let mut channel = Channel::accepted(stream, self.operators_keys())?;
+        let line = {
+            let mut inner = lock(&self.inner);
+            if inner.calls >= CALLS {
+                return Err(io::Error::other("too many calls are open"));
+            }
+            inner.calls += 1;
+            inner.next_stream += 1;
+            let number = inner.next_stream;
+            // So that its clock is looked at.
+            inner.lines.insert(number, Line::new(channel.waker()));
+            number
+        };
+        let ended = self.answer(&mut channel);
+        let mut inner = lock(&self.inner);
+        inner.calls -= 1;
+        inner.lines.remove(&line);
+        ended
+    }
+
+    fn answer(&self, channel: &mut Channel) -> io::Result<()> {
+        let began = Instant::now();
+        let mut answered = false;
+        loop {
+            let closed = channel.pump()?;
+            if !answered {
+                if let Some(message) = channel.take::<FromClient>()? {
+                    let Some(from_client::Said::Call(call)) = message.said else {
+                        return Err(io::Error::other("no call"));
+                    };
+                    let reply = self.call(call);
+                    channel.send(&FromService { said: Some(from_service::Said::Reply(reply)) })?;
+                    channel.pump()?;
+                    answered = true;
+                }
+            }
+            if closed {
+                return Ok(());
+            }
+            if began.elapsed() >= SILENCE {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, "the call took too long"));
+            }
+            channel.wait();
+        }
+    }
+
+    /// Carries out a call; the coroutine waits while it is agreed on.
+    fn call(&self, call: Call) -> Reply {
+        match call.what {
+            Some(call::What::Publish(publish)) => self.publish(NewVersion {
+                document: publish.document,
+                author: publish.author,
+                note: publish.note,
+                plan: publish.plan,
+                expected_newest: publish.expected_newest,
+                key: publish.key,
+                ..NewVersion::default()
+            }),
+            Some(call::What::Rollback(back)) => {
+                let held = self.group.charter(|charter| charter.versions.get(&back.to).cloned());
+                let Some(held) = held else { return error(format!("there is no version {}", back.to)) };
+                self.publish(NewVersion {
+                    document: Some((*held.document).clone()),
+                    author: back.author,
+                    note: back.note,
+                    rolls_back_to: back.to,
+                    key: back.key,
+                    ..NewVersion::default()
+                })
+            }
+            Some(call::What::List(list)) => self.list(list.most as usize),
+            Some(call::What::Show(show)) => self.show(show.number),
+            Some(call::What::Status(_)) => self.status(),
+            Some(call::What::Members(_)) => reply(reply::What::Members(self.group.members())),
+            Some(call::What::Duties(_)) => reply(reply::What::Duties(self.group.duties())),
+            Some(call::What::AddMember(member)) => self.change_members(|tell| {
+                if member.listen.parse::<std::net::SocketAddr>().is_err() {
+                    return tell(Ok(Outcome::Refused(format!("'{}' is no address", member.listen))));
+                }
+                self.group.join(member, tell);
+            }),
+            Some(call::What::RemoveMember(member)) => {
+                self.change_members(|tell| self.group.leave(member, tell))
+            }
+            Some(call::What::HandOver(wish)) => self.hand_over(&wish),
+            Some(call::What::Declare(duty)) => {
+                self.agree(Act { duty, what: Some(What::Declare(Declare {})), ..Act::default() })
+            }
+            Some(call::What::TakeOver(duty)) => self.take_over(&duty),
+            None => error("a call that this build does not know"),
+        }
+    }
+
+    /// Has something agreed on, and says what became of it.
+    fn agree(&self, act: Act) -> Reply {
+        let (tell, told) = may::sync::mpsc::channel();
+        self.group.propose(act, Box::new(move |outcome| drop(tell.send(outcome))));
+        answer(told.recv().unwrap_or_else(|_| Err("the service is ending".into())))
+    }
+
+    /// The term under which this service acts for a duty, or where else to ask.
+    fn acting(&self, duty: &str) -> Result<u64, Box<Reply>> {
+        if let Some(term) = self.group.acts(duty) {
+            return Ok(term);
+        }
+        let (owner, term) = self.group.charter(|charter| charter.owner(duty));
+        let elsewhere = owner > 0 && owner != self.group.own().number && self.group.leader() > 0;
+        match self.owner(owner, term).filter(|_| elsewhere) {
+            Some(owner) => Err(Box::new(reply(reply::What::Owner(owner)))),
+            None => Err(Box::new(later(self.group.why_not()))),
+        }
+    }
+
+    fn publish(&self, new: NewVersion) -> Reply {
+        if new.author.len() > NAME || new.note.len() > WORDS {
+            return error("author or note is too long");
+        }
+        let plan = new.plan.unwrap_or_default();
+        if let Some(why) = bad_plan(&plan) {
+            return error(why);
+        }
+        let term = match self.acting(VERSIONS) {
+            Ok(term) => term,
+            Err(elsewhere) => return *elsewhere,
+        };
+        if let Some(why) = self.outranked(term) {
+            return error(why);
+        }
+        let stood = lock(&self.doubt).stood().filter(|_| self.group.alone());
+        if let Some(stood) = stood {
+            return later(format!(
+                "this service stood still for {:.0} s, and no proxy has come back since: another may have taken its \
+                 place (if not: `take-over {VERSIONS}`)",
+                stood / 1e3
+            ));
+        }
+        let (at_least, needed) = self.needed();
+        let new = NewVersion {
+            plan: Some(plan),
+            at_least,
+            needed,
+            keep: self.keep as u32,
+            published_ms: unix_ms(),
+            ..new
+        };
+        self.agree(Act { duty: VERSIONS.into(), term, what: Some(What::Version(new)), ..Act::default() })
+    }
+
+    /// Members are changed at the leader.
+    fn change_members(&self, change: impl FnOnce(crate::group::Tell)) -> Reply {
+        let (own, leader) = (self.group.own().number, self.group.leader());
+        if leader != own {
+            let there = if leader > 0 { self.owner(leader, 0) } else { None };
+            return there
+                .map_or_else(|| later(self.group.why_not()), |there| reply(reply::What::Owner(there)));
+        }
+        let (tell, told) = may::sync::mpsc::channel();
+        change(Box::new(move |outcome| drop(tell.send(outcome))));
+        answer(told.recv().unwrap_or_else(|_| Err("the service is ending".into())))
+    }
+
+    fn hand_over(&self, wish: &HandOver) -> Reply {
+        let term = match self.acting(&wish.duty) {
+            Ok(term) => term,
+            Err(elsewhere) => return *elsewhere,
+        };
+        let members = self.group.members();
+        let here = |member: &u64| *member != members.own && members.heard.contains(member);
+        let owns = |member: u64| {
+            self.group.charter(|charter| charter.duties.values().filter(|it| it.owner == member).count())
+        };
+        let to = match wish.to {
+            0 => members.heard.iter().copied().filter(here).min_by_key(|member| (owns(*member), *member)),
+            to => Some(to).filter(here),
+        };
+        let Some(to) = to else {
+            return error("there is no such member that was heard of within the last seconds");
+        };
+        let what = Some(What::HandOver(to));
+        self.agree(Act { duty: wish.duty.clone(), term, what, ..Act::default() })
+    }
+
+    /// Goes on above the terms that proxies have seen.
+    fn take_over(&self, duty: &str) -> Reply {
+        let term = match self.acting(duty) {
+            Ok(term) => term,
+            Err(elsewhere) => return *elsewhere,
+        };
+        lock(&self.doubt).vouched();
+        let inner = lock(&self.inner);
+        let near = |seen: &u64| seen.saturating_sub(term) <= RAISED_BY;
+        let above = inner.lines.values().map(Line::seen).filter(near).max().unwrap_or(0).max(term);
+        drop(inner);
+        tracing::warn!(duty, term, above, "an operator has this service take over");
+        self.agree(Act { duty: duty.into(), term, what: Some(What::Raise(above)), ..Act::default() })
+    }
+
+    fn list(&self, most: usize) -> Reply {
+        let most = if most == 0 { usize::MAX } else { most };
+        let entries = self.group.charter(|charter| {
+            charter.versions.values().rev().take(most).map(|held| held.entry.clone()).collect()
+        });
+        reply(reply::What::Versions(Versions { entries }))
+    }
+
+    fn show(&self, number: u64) -> Reply {
+        let held = self.group.charter(|charter| {
+            let number = if number == 0 { charter.newest() } else { number };
+            charter.versions.get(&number).cloned()
+        });
+        let Some(held) = held else { return error(format!("there is no version {number}")) };
+        let (entry, document) = (Some(held.entry), Some((*held.document).clone()));
+        reply(reply::What::Shown(Shown { entry, document }))
+    }
+
+    fn status(&self) -> Reply {
+        if let Err(elsewhere) = self.acting(VERSIONS) {
+            return *elsewhere;
+        }
+        let inner = lock(&self.inner);
+        let now = clock::now();
+        let proxy = |(name, proxy): (&String, &gaugestep_config::rollout::Proxy)| {
+            let (incarnation, name_term) = inner.names.holder(name).unwrap_or_default();
+            Proxy {
+                name: name.clone(),
+                connected: proxy.stream.is_some(),
+                build: proxy.build.clone(),
+                in_force: proxy.in_force,
+                offered: proxy.offered.map_or(0, |(_, number, _)| number),
+                refusal: proxy.refused.as_ref().map(|(_, refusal)| refusal.clone()),
+                refused: proxy.refused.as_ref().map_or(0, |(number, _)| *number),
+                heard_ms: (now - proxy.heard).max(0.0) as u64,
+                ahead: proxy.ahead,
+                incarnation,
+                name_term,
+                ..Proxy::default()
+            }
+        };
+        let mut proxies: Vec<Proxy> = inner.rollout.proxies().iter().map(proxy).collect();
+        // Those that this service drives nothing for: whose name is another's, or who have seen a later owner.
+        let term = inner.acting.unwrap_or(0);
+        for (stream, line) in &inner.lines {
+            let Some((hello, _)) = &line.hello else { continue };
+            let displaced = !inner.names.holds(&hello.proxy, *stream);
+            let beyond = Some(line.seen()).filter(|seen| *seen > term).unwrap_or(0);
+            if displaced || beyond > 0 {
+                proxies.push(Proxy {
+                    name: hello.proxy.clone(),
+                    connected: true,
+                    build: hello.build.clone(),
+                    in_force: hello.in_force.as_ref().map_or(0, |version| version.number),
+                    incarnation: hello.incarnation,
+                    name_term: hello.name_term,
+                    displaced,
+                    beyond,
+                    ..Proxy::default()
+                });
+            }
+        }
+        proxies.sort_by(|a, b| (&a.name, a.displaced).cmp(&(&b.name, b.displaced)));
+        let newest = self.group.charter(gaugestep_duty::charter::Charter::newest);
+        reply(reply::What::Fleet(Fleet { newest, proxies }))
+    }
+}
+
+/// What an outcome is to whoever called.
+fn answer(outcome: Result<Outcome, String>) -> Reply {
+    match outcome {
+        Ok(Outcome::Done) => reply(reply::What::Done(Done {})),
+        Ok(Outcome::Published(version)) => {
+            reply(reply::What::Published(Published { version: Some(version) }))
+        }
+        Ok(Outcome::Refused(why)) => error(why),
+        // The duty went to another while the act was under way.
+        Ok(Outcome::Stale { .. }) => later("the duty has another owner by now"),
+        Err(why) => later(why),
+    }
+}
+
+/// What is wrong with a plan.
+fn bad_plan(plan: &Plan) -> Option<&'static str> {
+    if !(0.0..=1.0).contains(&plan.share) {
+        return Some("the plan's share must lie between 0 and 1");
+    }
+    if !(0.0..=1.0).contains(&plan.worse_by) {
+        return Some("the plan's worsening must lie between 0 and 1");
+    }
+    (plan.refusals == Some(0)).then_some("the plan must allow for one refusal at least before it halts")
+}
--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use crate::commands::{self, Connect, Out, PublishArgs};
+use crate::group_commands::{self, NewMember};
 use crate::service::{Service, Settings};
 use clap::{CommandFactory as _, Parser, Subcommand};
 use gaugestep_config::schema;
@@ -26,6 +27,10 @@
         /// The service's file, as protobuf text format; see deploy/control.textproto.
         #[arg(long, env = "GAUGESTEP_CONTROL_CONFIG")]
         config: PathBuf,
+        /// Uses a store that is a copy, or older than its seal: whoever used it is gone for good. Only for a service that
+        /// is alone.
+        #[arg(long)]
+        restored: bool,
     },
     /// Says whether a document can be used; needs no service.
     Validate {
@@ -94,6 +99,44 @@
         #[arg(long, default_value = "")]
         note: String,
     },
+    /// Shows the services of the group, adds one, or removes one for good. Exit code 1 if no majority is here.
+    Members {
+        #[command(flatten)]
+        connect: Connect,
+        #[command(subcommand)]
+        change: Option<ChangeMembers>,
+    },
+    /// Shows who owns what for the fleet, under which term and for how long. Exit code 1 if something has no owner.
+    Duties {
+        #[command(flatten)]
+        connect: Connect,
+    },
+    /// Has the owner of a duty hand it over to another member, as before maintenance.
+    HandOver {
+        #[command(flatten)]
+        connect: Connect,
+        /// The duty.
+        #[arg(default_value = gaugestep_duty::VERSIONS)]
+        duty: String,
+        /// The member; whichever has the fewest duties if none is named.
+        #[arg(long, default_value_t = 0)]
+        to: u64,
+    },
+    /// Has the owner of a duty go on above all terms that proxies have seen, where whoever had those is gone for good.
+    TakeOver {
+        #[command(flatten)]
+        connect: Connect,
+        /// The duty.
+        #[arg(default_value = gaugestep_duty::VERSIONS)]
+        duty: String,
+    },
+    /// Has there be a further duty, for which the group finds an owner.
+    Declare {
+        #[command(flatten)]
+        connect: Connect,
+        /// Its name.
+        duty: String,
+    },
     /// Prints completions for a shell.
     Completions {
         /// The shell.
@@ -101,12 +144,23 @@
     },
 }
 
+#[derive(Subcommand)]
+enum ChangeMembers {
+    /// Has a service join that runs on an empty store with `joins: true`.
+    Add(NewMember),
+    /// Has a member leave for good; its number is never used again.
+    Remove {
+        /// Its number.
+        number: u64,
+    },
+}
+
 /// Runs the program.
 pub fn run() -> ExitCode {
     let cli = Cli::parse();
     let out = Out { json: cli.json };
     let done = match cli.command {
-        Command::Serve { config } => serve(&config, cli.json).map(|()| 0),
+        Command::Serve { config, restored } => serve(&config, restored, cli.json).map(|()| 0),
         Command::Validate { document } => commands::validate(&out, &document),
         Command::Publish { connect, publish } => commands::publish(&out, &connect, &publish),
         Command::List { connect, most } => commands::list(&out, &connect, most),
@@ -115,6 +169,15 @@
         Command::Status { connect, proxy } => commands::status(&out, &connect, proxy.as_deref()),
         Command::Watch { connect, version, within } => commands::watch(&out, &connect, version, within),
         Command::Rollback { connect, to, note } => commands::rollback(&out, &connect, to, note),
+        Command::Members { connect, change } => match change {
+            None => group_commands::members(&out, &connect),
+            Some(ChangeMembers::Add(new)) => group_commands::add(&out, &connect, &new),
+            Some(ChangeMembers::Remove { number }) => group_commands::remove(&out, &connect, number),
+        },
+        Command::Duties { connect } => group_commands::duties(&out, &connect),
+        Command::HandOver { connect, duty, to } => group_commands::hand_over(&out, &connect, &duty, to),
+        Command::TakeOver { connect, duty } => group_commands::take_over(&out, &connect, &duty),
+        Command::Declare { connect, duty } => group_commands::declare(&out, &connect, &duty),
         Command::Completions { shell } => {
             let mut command = Cli::command();
             clap_complete::generate(shell, &mut command, "gaugestep-control", &mut std::io::stdout());
@@ -130,10 +193,11 @@
     }
 }
 
-fn serve(path: &std::path::Path, json: bool) -> Result<(), String> {
+fn serve(path: &std::path::Path, restored: bool, json: bool) -> Result<(), String> {
     use signal_hook::consts::{SIGINT, SIGTERM};
     let told: schema::Service = crate::read_file("Service", path)?;
     let settings = Settings::of(&told).map_err(|error| format!("{}: {error}", path.display()))?;
+    let settings = Settings { restored, ..settings };
     let filter = tracing_subscriber::EnvFilter::try_from_env("GAUGESTEP_LOG")
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info,may=warn"));
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_env_filter(filter).with_ansi(false);
@@ -145,7 +209,7 @@
         .map_err(|error| format!("cannot take signals: {error}"))?;
     gaugestep_coio::task::set_up();
     let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let seed = seed.map_or(1, |since| since.as_nanos() as u64);
+    let seed = seed.map_or(1, |since| since.as_nanos() as u64) ^ (u64::from(std::process::id()) << 40);
     let (listen, operators) = (settings.listen, settings.operators);
     let _service = Service::start(settings, seed)?;
     tracing::info!(%listen, %operators, "serving");
--- a/crates/control/src/commands.rs
+++ b/crates/control/src/commands.rs
@@ -19,7 +19,7 @@
 const LOOK: Duration = Duration::from_millis(200);
 
 /// An exit code, or one plain line that says what went wrong (exit code 1).
-type Done = Result<u8, String>;
+pub type Done = Result<u8, String>;
 
 /// How results are printed.
 pub struct Out {
@@ -28,7 +28,7 @@
 }
 
 impl Out {
-    fn print(&self, value: &Value, words: impl FnOnce() -> String) {
+    pub(crate) fn print(&self, value: &Value, words: impl FnOnce() -> String) {
         if self.json {
             println!("{value}");
         } else {
@@ -40,9 +40,9 @@
 /// How to reach the service.
 #[derive(Args)]
 pub struct Connect {
-    /// The service's address for operators.
-    #[arg(long, env = "GAUGESTEP_CONTROL", default_value = "127.0.0.1:9401")]
-    service: SocketAddr,
+    /// The services' addresses for operators, tried in turn.
+    #[arg(long, env = "GAUGESTEP_CONTROL", default_value = "127.0.0.1:9401", value_delimiter = ',')]
+    service: Vec<SocketAddr>,
     /// The operator's certificate, as a PEM file; with it, TLS is spoken.
     #[arg(long, env = "GAUGESTEP_CERTIFICATE", requires_all = ["key", "authority"])]
     certificate: Option<PathBuf>,
@@ -58,7 +58,11 @@
 }
 
 impl Connect {
-    fn call(&self, what: call::What) -> Result<reply::What, String> {
+    pub(crate) fn call(&self, what: call::What) -> Result<reply::What, String> {
+        // Whatever else is asked for does no harm if it is done twice: it looks, or names what it replaces.
+        let once = matches!(&what, call::What::Publish(it) if it.key.is_empty())
+            || matches!(&what, call::What::Rollback(it) if it.key.is_empty())
+            || matches!(&what, call::What::HandOver(_));
         let files = match (&self.certificate, &self.key, &self.authority) {
             (Some(certificate), Some(key), Some(authority)) => {
                 let (certificate, key, authority) = (certificate.clone(), key.clone(), authority.clone());
@@ -66,7 +70,7 @@
             }
             _ => None,
         };
-        Service { address: self.service, keys: files }.call(what)
+        Service { addresses: self.service.clone(), keys: files }.call(&what, !once)
     }
 
     fn shown(&self, number: u64) -> Result<Shown, String> {
@@ -84,7 +88,7 @@
     }
 }
 
-fn unexpected() -> String {
+pub(crate) fn unexpected() -> String {
     "the service's reply is to another call".into()
 }
 
@@ -117,6 +121,16 @@
     /// Refused unless this is the newest version.
     #[arg(long, default_value_t = 0)]
     expect: u64,
+    /// Names this publication: given again under its key it does not publish twice. Drawn if none is given.
+    #[arg(long, value_name = "KEY", default_value_t = drawn_key())]
+    once: String,
+}
+
+/// A key that nobody else draws.
+pub fn drawn_key() -> String {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let seed = since.as_nanos() ^ (u128::from(std::process::id()) << 96);
+    format!("{:016x}", oorandom::Rand64::new(seed).rand_u64())
 }
 
 fn read(path: &Path) -> Result<Document, String> {
@@ -163,8 +177,10 @@
         note: told.note.clone(),
         plan: Some(plan),
         expected_newest: told.expect,
+        key: told.once.clone(),
     };
-    published(out, connect.call(call::What::Publish(publish))?)
+    let again = |error| format!("{error} (the same again: --once {})", told.once);
+    published(out, connect.call(call::What::Publish(publish)).map_err(again)?)
 }
 
 fn published(out: &Out, told: reply::What) -> Done {
@@ -180,7 +196,8 @@
 /// Publishes the content of an earlier version.
 pub fn rollback(out: &Out, connect: &Connect, to: u64, note: String) -> Done {
     let author = std::env::var("USER").unwrap_or_default();
-    published(out, connect.call(call::What::Rollback(Rollback { to, author, note }))?)
+    let key = drawn_key();
+    published(out, connect.call(call::What::Rollback(Rollback { to, author, note, key }))?)
 }
 
 fn state(entry: &Entry) -> &'static str {
@@ -257,6 +274,8 @@
             "proxy": proxy.name, "connected": proxy.connected, "build": proxy.build, "in_force": proxy.in_force,
             "offered": proxy.offered, "refused": proxy.refused, "ahead": proxy.ahead, "heard_ms": proxy.heard_ms,
             "refusal": refusal.map(|it| json!({"code": it.code, "path": it.path, "reason": it.reason})),
+            "process": format!("{:016x}", proxy.incarnation), "name_term": proxy.name_term,
+            "displaced": proxy.displaced, "beyond": proxy.beyond,
         })
     };
     fleet.proxies.iter().filter(wanted).map(told).collect()
@@ -280,6 +299,12 @@
             if proxy["ahead"] == true {
                 words += "  ahead of this service";
             }
+            if proxy["displaced"] == true {
+                words += &format!("  its name is another's (process {})", text("process"));
+            }
+            if number("beyond") > 0 {
+                words += &format!("  has seen a later owner, of term {}", number("beyond"));
+            }
             if number("refused") > 0 {
                 let reason = proxy["refusal"]["reason"].as_str().unwrap_or_default();
                 words += &format!("  refused {}: {reason}", number("refused"));
@@ -298,7 +323,7 @@
     let mut last = Value::Null;
     loop {
         let (entry, fleet) = (connect.shown(number)?.entry.unwrap_or_default(), connect.fleet()?);
-        let here = fleet.proxies.iter().filter(|proxy| proxy.connected);
+        let here = fleet.proxies.iter().filter(|proxy| proxy.connected && !proxy.displaced);
         let (have, all) = (here.clone().filter(|proxy| proxy.in_force >= number).count(), here.count());
         let refused = fleet.proxies.iter().filter(|proxy| proxy.refused == number).count();
         let value = json!({
--- /dev/null
+++ b/crates/control/src/driving.rs
@@ -0,0 +1,352 @@
+//! What the owner of the versions does: a shell round the [`Rollout`], which decides who is offered what. A service that
+//! does not own them drives nothing, and says who does.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use gaugestep_config::rollout::{Action, Event, Rollout};
+use gaugestep_config::schema::act::What;
+use gaugestep_config::schema::entry::State;
+use gaugestep_config::schema::offer::Content;
+use gaugestep_config::schema::{
+    Act, Answer, Keep, NewState, NewVersion, Offer, Plan, Progress, from_service,
+};
+use gaugestep_config::{delta, short};
+use gaugestep_duty::VERSIONS;
+use gaugestep_duty::charter::{Change, Held, Outcome, RAISED_BY};
+use gaugestep_duty::names::Given;
+use prost::Message as _;
+
+use crate::group::named;
+use crate::service::{Inner, Line, Service};
+use crate::{clock, lock};
+
+/// Counts of requests that have grown are told to the group this often, in milliseconds, while a rollout compares them.
+const COUNTS_EVERY: f64 = 5_000.0;
+
+/// Milliseconds of Unix time.
+pub(crate) fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+impl Service {
+    /// Something that is agreed on has changed, or somebody's lease.
+    pub(crate) fn changed(&self, changes: &[Change]) {
+        let mut inner = lock(&self.inner);
+        self.look(&mut inner);
+        for change in changes {
+            match change {
+                Change::Version(number)
+                    if inner.acting.is_some() && inner.rollout.state(*number).is_none() =>
+                {
+                    let entry =
+                        self.group.charter(|it| it.versions.get(number).map(|held| held.entry.clone()));
+                    let Some(entry) = entry else { continue };
+                    let digest =
+                        entry.version.as_ref().map(|version| short(&version.digest)).unwrap_or_default();
+                    let (term, rolls_back_to) = (inner.acting, entry.rolls_back_to);
+                    tracing::info!(version = number, digest, term, rolls_back_to, "published");
+                    let plan = entry.plan.unwrap_or_default();
+                    self.drive(&mut inner, Event::Published { number: *number, plan, rolls_back_to });
+                }
+                Change::Dropped(_) => {
+                    let least = self.group.charter(|it| it.versions.keys().next().copied().unwrap_or(0));
+                    inner.rollout.forget_below(least);
+                }
+                Change::Owner(duty) if duty == VERSIONS => self.welcome_all(&mut inner),
+                _ => {}
+            }
+        }
+    }
+
+    /// Looks whether this service owns the versions at this moment.
+    pub(crate) fn look(&self, inner: &mut Inner) {
+        let acts = self.group.acts(VERSIONS);
+        if acts == inner.acting {
+            return;
+        }
+        inner.acting = acts;
+        inner.rollout = Rollout::default();
+        inner.waiting.clear();
+        (inner.told, inner.keeping) = (None, 0);
+        match acts {
+            None => tracing::warn!(duty = VERSIONS, "does not act any more"),
+            Some(term) => self.begin(inner, term),
+        }
+        self.welcome_all(inner);
+    }
+
+    /// Goes on where the last owner stood.
+    fn begin(&self, inner: &mut Inner, term: u64) {
+        let (versions, duty) = self.group.charter(|charter| {
+            let versions = charter.versions.values().map(|held| {
+                let entry = &held.entry;
+                (named(entry), entry.plan.unwrap_or_default(), entry.state(), entry.rolls_back_to)
+            });
+            (versions.collect::<Vec<_>>(), charter.duties.get(VERSIONS).cloned().unwrap_or_default())
+        });
+        inner.rollout = Rollout::recover(versions);
+        inner.order = duty.order;
+        let progress = Progress::decode(duty.state.as_slice()).unwrap_or_default();
+        let (version, step) = (progress.number, progress.step);
+        tracing::info!(duty = VERSIONS, term, version, step, "acts");
+        inner.told = Some(progress.clone());
+        inner.rollout.resume(clock::now(), progress);
+        let streams: Vec<u64> = inner.lines.keys().copied().collect();
+        for stream in streams {
+            self.present(inner, stream);
+        }
+    }
+
+    /// Tells the rollout of a proxy that is here, if it is its name's owner and has seen nobody later than this service.
+    pub(crate) fn present(&self, inner: &mut Inner, stream: u64) {
+        let Some(line) = inner.lines.get(&stream) else { return };
+        let Some((hello, at)) = line.hello.clone() else { return };
+        if !inner.names.holds(&hello.proxy, stream) {
+            return;
+        }
+        let (seen, term) = (line.seen(), inner.acting.unwrap_or(0));
+        if seen <= term {
+            lock(&self.doubt).vouched();
+        } else if inner.acting.is_some() {
+            tracing::warn!(proxy = hello.proxy, seen, term, "a proxy has seen a later owner");
+            if self.restored && seen - term <= RAISED_BY {
+                // The operator said that whoever used the store before is gone for good.
+                let what = Some(What::Raise(seen));
+                let act = Act { duty: VERSIONS.into(), term, what, ..Act::default() };
+                self.group.propose(act, Box::new(|_| {}));
+            }
+            return;
+        }
+        let number = hello.in_force.as_ref().map_or(0, |version| version.number);
+        let known = self.group.charter(|charter| {
+            charter.versions.get(&number).is_some_and(|held| held.entry.version == hello.in_force)
+        });
+        let age = hello.age_ms as f64 + (clock::now() - at);
+        let (proxy, in_force, build) = (hello.proxy, hello.in_force, hello.build);
+        self.drive(inner, Event::Hello { proxy, stream, in_force, known, build, age });
+    }
+
+    /// Gives a name back to a process whose successor has gone for good.
+    pub(crate) fn promote(&self, inner: &mut Inner, now: f64) {
+        let displaced: Vec<u64> = inner.names.displaced().map(|(stream, ..)| stream).collect();
+        for stream in displaced {
+            let Some((hello, _)) = inner.lines.get(&stream).and_then(|line| line.hello.clone()) else {
+                continue;
+            };
+            // It was told the term of its successor, and so never counts as newer.
+            let term = hello.name_term.max(1);
+            if let Given::Yours { .. } = inner.names.hello(now, &hello.proxy, hello.incarnation, term, stream)
+            {
+                let welcome = self.welcome(inner, stream);
+                if let Some(line) = inner.lines.get_mut(&stream) {
+                    line.say(from_service::Said::Welcome(welcome));
+                }
+                self.present(inner, stream);
+            }
+        }
+    }
+
+    /// Tells all proxies who owns the versions.
+    fn welcome_all(&self, inner: &mut Inner) {
+        let streams: Vec<u64> =
+            inner.lines.iter().filter(|(_, line)| line.hello.is_some()).map(|(stream, _)| *stream).collect();
+        for stream in streams {
+            let welcome = self.welcome(inner, stream);
+            if let Some(line) = inner.lines.get_mut(&stream) {
+                line.say(from_service::Said::Welcome(welcome));
+            }
+        }
+    }
+
+    /// A proxy has answered an offer.
+    pub(crate) fn answered(&self, proxy: &str, stream: u64, answer: Answer) {
+        let (number, nonce, refusal) = (answer.number, answer.nonce, answer.refusal);
+        let mut inner = lock(&self.inner);
+        match &refusal {
+            None => {
+                tracing::info!(proxy, version = number, nonce, "in force");
+                let version = self.group.charter(|it| it.versions.get(&number)?.entry.version.clone());
+                let term = inner.acting;
+                if let Some((hello, at)) = inner.lines.get_mut(&stream).and_then(|line| line.hello.as_mut()) {
+                    (hello.in_force, hello.age_ms, *at) =
+                        (version.or(hello.in_force.take()), 0, clock::now());
+                    // It has kept the term of what it took.
+                    let seen = hello.seen.iter_mut().find(|it| it.duty == VERSIONS);
+                    if let (Some(seen), Some(term)) = (seen, term) {
+                        seen.term = seen.term.max(term);
+                    }
+                }
+            }
+            Some(refusal) => {
+                let (code, path) = (&refusal.code, &refusal.path);
+                tracing::warn!(proxy, version = number, nonce, code, path, "refused: {}", refusal.reason);
+            }
+        }
+        self.drive(&mut inner, Event::Answered { proxy: proxy.into(), stream, nonce, refusal });
+    }
+
+    /// Tells the rollout of something, and carries out what it wants done. Nothing while another service drives it.
+    pub(crate) fn drive(&self, inner: &mut Inner, event: Event) {
+        let Some(term) = inner.acting else { return };
+        let now = clock::now();
+        let actions = inner.rollout.handle(now, event);
+        self.tell_progress(inner, now, term);
+        for action in actions {
+            // The next owner must know of a step before any proxy does.
+            match action {
+                Action::Offer { .. } if inner.keeping > 0 => inner.waiting.push(action),
+                action => self.carry_out(inner, term, action),
+            }
+        }
+    }
+
+    fn carry_out(&self, inner: &mut Inner, term: u64, action: Action) {
+        match action {
+            Action::Offer { proxy, stream, nonce, number, base } => {
+                // The polite half: its own lease, at the last moment.
+                if self.group.acts(VERSIONS) != Some(term) {
+                    return;
+                }
+                let offer = self.group.charter(|charter| {
+                    let held = charter.versions.get(&number)?;
+                    Some(offer(held, charter.versions.get(&base), nonce, term))
+                });
+                let (Some(offer), Some(line)) = (offer, inner.lines.get_mut(&stream)) else { return };
+                tracing::info!(proxy, version = number, nonce, base, duty = VERSIONS, term, "offered");
+                line.say(from_service::Said::Offer(offer));
+            }
+            // Whatever was on its way when a version was published is overtaken by that very act.
+            Action::State { state: State::Overtaken, .. } => {}
+            Action::State { number, state, why } => {
+                tracing::info!(version = number, state = state.as_str_name(), why, term, "rollout");
+                let new = NewState { number, state: state as i32, halted_for: why };
+                self.act(term, What::State(new));
+            }
+            Action::RollBack { of, to, why } => {
+                tracing::error!(version = of, to, why, term, "rolled back");
+                let document =
+                    self.group.charter(|it| it.versions.get(&to).map(|held| (*held.document).clone()));
+                let (at_least, needed) = needed(inner, self.group.charter(|it| it.newest()));
+                self.act(
+                    term,
+                    What::Version(NewVersion {
+                        document: Some(document.unwrap_or_default()),
+                        author: "gaugestep-control".into(),
+                        note: format!("brings back version {to}, as version {of} was halted: {why}"),
+                        plan: Some(Plan::default()),
+                        rolls_back_to: to,
+                        // Whichever owner comes to it first: it is brought back once.
+                        key: format!("halted-{of}"),
+                        at_least,
+                        needed,
+                        keep: self.keep as u32,
+                        published_ms: unix_ms(),
+                        ..NewVersion::default()
+                    }),
+                );
+            }
+        }
+    }
+
+    fn act(&self, term: u64, what: What) {
+        let act = Act { duty: VERSIONS.into(), term, what: Some(what), ..Act::default() };
+        self.group.propose(
+            act,
+            Box::new(|outcome| {
+                if let Err(why) | Ok(Outcome::Refused(why)) = outcome {
+                    tracing::warn!("an act for the versions was not agreed on: {why}");
+                }
+            }),
+        );
+    }
+
+    /// Has it agreed how far the rollout is, where that has changed.
+    fn tell_progress(&self, inner: &mut Inner, now: f64, term: u64) {
+        let Some(progress) = inner.rollout.progress() else { return };
+        let grown = |told: &Progress| told.counts != progress.counts && now - inner.told_at >= COUNTS_EVERY;
+        let same = |told: &Progress| {
+            Progress { counts: Vec::new(), ..told.clone() }
+                == Progress { counts: Vec::new(), ..progress.clone() }
+        };
+        if inner.told.as_ref().is_some_and(|told| same(told) && !grown(told)) {
+            return;
+        }
+        inner.order += 1;
+        inner.keeping = inner.order;
+        let keep = Keep { state: progress.encode_to_vec(), order: inner.order };
+        (inner.told, inner.told_at) = (Some(progress), now);
+        let (kept, service) = (inner.order, self.itself());
+        let act = Act { duty: VERSIONS.into(), term, what: Some(What::Keep(keep)), ..Act::default() };
+        self.group.propose(
+            act,
+            Box::new(move |outcome| {
+                if let Some(service) = service.upgrade() {
+                    service.kept(term, kept, outcome == Ok(Outcome::Done));
+                }
+            }),
+        );
+    }
+
+    /// The next owner knows of the step, or could not be told.
+    fn kept(&self, term: u64, order: u64, done: bool) {
+        let mut inner = lock(&self.inner);
+        if inner.acting != Some(term) || inner.keeping != order {
+            return;
+        }
+        if !done {
+            // Told anew with the next event; what waits goes on waiting.
+            inner.told = None;
+            return;
+        }
+        inner.keeping = 0;
+        for action in std::mem::take(&mut inner.waiting) {
+            self.carry_out(&mut inner, term, action);
+        }
+    }
+
+    /// The least number for the next version, and those that are kept however old: what a rollback would bring back, and
+    /// what proxies have in force.
+    pub(crate) fn needed(&self) -> (u64, Vec<u64>) {
+        needed(&lock(&self.inner), self.group.charter(|it| it.newest()))
+    }
+
+    /// Why nothing may be published under this term: the proxies follow a later owner.
+    pub(crate) fn outranked(&self, term: u64) -> Option<String> {
+        let inner = lock(&self.inner);
+        let seen = inner.lines.values().filter(|line| line.hello.is_some()).map(Line::seen);
+        let (later, others): (Vec<u64>, Vec<u64>) = seen.partition(|seen| *seen > term);
+        let highest = later.iter().max()?;
+        // One odd proxy of many does not stop a fleet from being changed.
+        (later.len() >= others.len()).then(|| {
+            format!(
+                "proxies follow an owner of term {highest}, this one's is {term}: if that owner is gone for good, \
+                 `take-over {VERSIONS}`"
+            )
+        })
+    }
+}
+
+fn needed(inner: &Inner, newest: u64) -> (u64, Vec<u64>) {
+    let mut needed: Vec<u64> = inner.rollout.proxies().values().map(|proxy| proxy.in_force).collect();
+    needed.push(inner.rollout.complete_before(newest + 1));
+    needed.sort_unstable();
+    needed.dedup();
+    (inner.rollout.next_number(), needed)
+}
+
+/// An offer of a version: as changes to what the proxy has in force, where that is shorter.
+fn offer(held: &Held, base: Option<&Held>, nonce: u64, term: u64) -> Offer {
+    let changes = base.map(|base| delta::between(named(&base.entry), &base.document, &held.document));
+    let changes = changes.filter(|changes| changes.encoded_len() < held.document.encoded_len());
+    let content = match changes {
+        Some(changes) => Content::Delta(changes),
+        None => Content::Snapshot((*held.document).clone()),
+    };
+    Offer {
+        version: held.entry.version.clone(),
+        nonce,
+        content: Some(content),
+        rolls_back_to: held.entry.rolls_back_to,
+        term,
+    }
+}
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -2,12 +2,13 @@
 //!
 //! One coroutine holds the stream to a service; a thread of its own stores, as that blocks. Both tell the ledger what
 //! happens and carry out what it wants done, one at a time. Whatever goes wrong here, the proxy goes on under the
-//! version in force.
+//! version in force. What is said for the fleet goes through the [`Receiver`], which refuses old owners; which service is
+//! the owner's is found by [`Seek`].
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -17,27 +18,37 @@
 use gaugestep_coio::task;
 use gaugestep_config::ledger::{Action, Event, Fate, Ledger, OfferId};
 use gaugestep_config::live::Live;
-use gaugestep_config::schema::{Answer, Figures, FromClient, FromService, Hello, from_client, from_service};
-use gaugestep_config::{Document, LONGEST_DOCUMENT, PROTOCOL, schema, short};
+use gaugestep_config::schema::{
+    Answer, Charter, Duty, Figures, FromClient, FromService, Hello, Offer, Seen, Welcome, from_client,
+    from_service,
+};
+use gaugestep_config::{Document, LONGEST_DOCUMENT, PROTOCOL, Refusal, schema, short};
+use gaugestep_duty::VERSIONS;
+use gaugestep_duty::receiver::{self, Receiver as Terms, Refused};
+use gaugestep_duty::seek::Seek;
 use gaugestep_store::slots::{Slots, peek};
 use may::net::TcpStream;
 
 use crate::backoff::Backoff;
 use crate::channel::{Channel, STACK_WORDS};
 use crate::keys::{self, ClientKeys, Files};
-use crate::lock;
+use crate::{lock, seams};
+use prost::Message as _;
 
 /// A service that cannot be reached within this time is given up for now.
 const CONNECT_WITHIN: Duration = Duration::from_secs(2);
 /// A service that has not said who it is within this time, or has been silent for so long, is given up.
 const WELCOME_WITHIN: Duration = Duration::from_secs(5);
-const SILENCE: Duration = Duration::from_secs(10);
+const SILENCE: Duration = Duration::from_secs(6);
 /// How often the proxy tells its figures, which also shows that it lives.
 const FIGURES_EVERY: Duration = Duration::from_secs(2);
 /// How often clocks, keys and a store that another process holds are looked at.
 const LOOK: Duration = Duration::from_millis(250);
-/// What a value in the store takes beside the document.
+/// What a value in the store takes beside the document, and what all terms take.
 const AROUND: usize = 1024;
+const TERMS: usize = 1024 * 1024;
+/// Where terms are kept within the proxy's folder.
+const TERMS_FOLDER: &str = "terms";
 
 /// What the proxy does for a version.
 pub trait Host: Send + Sync + 'static {
@@ -97,6 +108,16 @@
 enum Job {
     Stage(u64, Vec<u8>),
     Commit(u64),
+    /// The highest terms seen.
+    Keep(BTreeMap<String, u64>),
+}
+
+/// What is said for the fleet, and so of an owner.
+enum Said {
+    /// On which stream the service named itself as the owner, and as which member.
+    Owns(u64),
+    /// A version, on a stream.
+    Offer(u64, Box<Offer>),
 }
 
 /// What the stream's coroutine shares with the thread that stores.
@@ -106,6 +127,13 @@
     stream: u64,
     out: VecDeque<Answer>,
     waker: Option<Waker>,
+    /// The highest terms seen.
+    terms: Terms<Said>,
+    seek: Seek,
+    /// The term under which this process has the proxy's name; 0: it never had it.
+    name_term: u64,
+    /// The process that has the name now, and its term.
+    displaced: Option<(u64, u64)>,
 }
 
 /// A proxy that follows a service.
@@ -118,6 +146,19 @@
     started: Instant,
     connected: AtomicBool,
     refused: AtomicU64,
+    /// Names this process.
+    incarnation: u64,
+}
+
+/// The terms that were kept in this folder.
+fn kept(folder: &Path) -> BTreeMap<String, u64> {
+    for found in peek(&folder.join(TERMS_FOLDER), TERMS) {
+        match found.and_then(|bytes| Charter::decode(bytes.as_slice()).map_err(|error| error.to_string())) {
+            Ok(told) => return told.duties.into_iter().map(|it| (it.name, it.term)).collect(),
+            Err(error) => tracing::error!("the terms seen cannot be read: {error}"),
+        }
+    }
+    BTreeMap::new()
 }
 
 impl Follower {
@@ -131,6 +172,10 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
             Err(error) => return Err(format!("{}: {error}", settings.state.display())),
         };
+        let terms = Terms::new(kept(&settings.state));
+        let seek = Seek::new(settings.services.len());
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let drawn = settings.seed ^ since.as_nanos() as u64 ^ (u64::from(std::process::id()) << 40);
         // Also where a predecessor still holds it.
         let stored = peek(&settings.state, LONGEST_DOCUMENT + AROUND);
         let mut ledger = Ledger::new();
@@ -150,7 +195,17 @@
         let follower = Arc::new(Follower {
             keys,
             host,
-            desk: Mutex::new(Desk { ledger, stream: 0, out: VecDeque::new(), waker: None }),
+            desk: Mutex::new(Desk {
+                ledger,
+                stream: 0,
+                out: VecDeque::new(),
+                waker: None,
+                terms,
+                seek,
+                name_term: 0,
+                displaced: None,
+            }),
+            incarnation: drawn.max(1),
             jobs: Mutex::new(jobs),
             started: Instant::now(),
             connected: AtomicBool::new(false),
@@ -201,6 +256,11 @@
             "age_s": in_force.map(|_| ((self.now() - desk.ledger.since()) / 1e3).round()),
             "connected": self.connected.load(Ordering::Relaxed),
             "refused": self.refused.load(Ordering::Relaxed),
+            "term": desk.terms.term(VERSIONS),
+            "stale_refused": desk.terms.stale(),
+            "process": format!("{:016x}", self.incarnation),
+            "name_term": desk.name_term,
+            "displaced": desk.displaced.is_some(),
             "last_refusal": last_refusal.last(),
             "weak_routes": weak,
         })
@@ -219,6 +279,54 @@
         }
     }
 
+    /// Whether another process has the proxy's name.
+    pub fn displaced(&self) -> bool {
+        lock(&self.desk).displaced.is_some()
+    }
+
+    /// Something was said for the fleet under a term.
+    fn said(&self, term: u64, said: Said) {
+        let mut desk = lock(&self.desk);
+        let actions = match seams::out("receiver") {
+            true => vec![receiver::Action::Take(said)],
+            false => desk.terms.act(VERSIONS, term, said),
+        };
+        drop(desk);
+        self.take(actions);
+    }
+
+    fn take(&self, actions: Vec<receiver::Action<Said>>) {
+        for action in actions {
+            match action {
+                receiver::Action::Keep(terms) => self.work(Job::Keep(terms)),
+                receiver::Action::Take(Said::Offer(stream, offer)) => {
+                    let (version, nonce) = (offer.version.as_ref().map_or(0, |it| it.number), offer.nonce);
+                    tracing::info!(version, nonce, duty = VERSIONS, term = offer.term, "version offered");
+                    self.tell(Event::Offered(stream, offer));
+                }
+                receiver::Action::Take(Said::Owns(stream)) => {
+                    if lock(&self.desk).stream == stream {
+                        self.connected.store(true, Ordering::Relaxed);
+                    }
+                }
+                receiver::Action::Refuse(Said::Offer(stream, offer), refused) => {
+                    let number = offer.version.as_ref().map_or(0, |it| it.number);
+                    let refusal = match refused {
+                        Refused::Stale { term, seen } => Refusal::StaleTerm { term, seen },
+                        Refused::NoTerm => Refusal::StaleTerm { term: 0, seen: 0 },
+                        Refused::NotKept(why) => Refusal::NotStored(why),
+                        Refused::Full => Refusal::NotStored(refused.to_string()),
+                    };
+                    let id = OfferId { stream, nonce: offer.nonce };
+                    self.answer(&mut lock(&self.desk), id, number, Some(refusal));
+                }
+                receiver::Action::Refuse(Said::Owns(_), refused) => {
+                    tracing::warn!(duty = VERSIONS, "an owner is not believed: {refused}");
+                }
+            }
+        }
+    }
+
     /// Tells the ledger of something, and carries out what it wants done.
     fn tell(&self, event: Event) {
         let mut event = Some(event);
@@ -262,6 +370,7 @@
 
     /// The thread that stores.
     fn store(&self, mut slots: Option<Slots>, work: &Receiver<Job>) {
+        let mut terms: Option<Slots> = None;
         loop {
             let job = match work.recv_timeout(LOOK) {
                 Ok(job) => Some(job),
@@ -281,6 +390,29 @@
                     let end = held.and_then(|slots| slots.stage(&bytes).map_err(|error| error.to_string()));
                     self.tell(Event::Staged(version, end));
                 }
+                Some(Job::Keep(seen)) => {
+                    if terms.is_none() && held.is_ok() {
+                        terms = Slots::open(&self.settings.state.join(TERMS_FOLDER), TERMS).ok();
+                    }
+                    let duty = |(name, term): (&String, &u64)| Duty {
+                        name: name.clone(),
+                        term: *term,
+                        ..Duty::default()
+                    };
+                    let all = Charter { duties: seen.iter().map(duty).collect(), ..Charter::default() };
+                    let keep =
+                        |slots: &Slots| slots.stage(&all.encode_to_vec()).and_then(|()| slots.commit());
+                    let end = match (&terms, held) {
+                        (Some(terms), Ok(_)) => keep(terms).map_err(|error| error.to_string()),
+                        (_, Err(why)) => Err(why),
+                        (None, Ok(_)) => Err("the folder for terms cannot be used".into()),
+                    };
+                    if end.is_ok() {
+                        tracing::info!(duty = VERSIONS, term = seen.get(VERSIONS), "term kept");
+                    }
+                    let actions = lock(&self.desk).terms.kept(end);
+                    self.take(actions);
+                }
                 Some(Job::Commit(version)) => {
                     let end = held.and_then(|slots| slots.commit().map_err(|error| error.to_string()));
                     self.tell(Event::Committed(version, end));
@@ -291,11 +423,10 @@
 
     /// Follows for good, whichever service answers.
     fn run(&self) {
-        let mut backoff = Backoff::new(self.settings.seed);
-        let mut tries = 0;
+        let mut backoff = Backoff::new(self.settings.seed ^ self.incarnation);
         loop {
-            let service = self.settings.services[tries % self.settings.services.len()];
-            tries += 1;
+            let place = lock(&self.desk).seek.place();
+            let service = self.settings.services[place % self.settings.services.len()];
             let began = Instant::now();
             let stream = {
                 let mut desk = lock(&self.desk);
@@ -309,13 +440,42 @@
             self.tell(Event::StreamEnded(stream));
             let error =
                 ended.err().map_or_else(|| "the service has closed".into(), |error| error.to_string());
+            let moves = lock(&self.desk).seek.ended();
+            // To an owner that was named and not tried yet there is nothing to wait for but the others' lots.
             let held = if was { began.elapsed().as_secs_f64() * 1e3 } else { 0.0 };
-            let wait = backoff.ended(held);
+            let wait = backoff.ended(if moves { f64::INFINITY } else { held });
             tracing::info!(%service, wait_ms = wait as u64, "the stream of versions ended: {error}");
             task::sleep(Duration::from_secs_f64(wait / 1e3));
         }
     }
 
+    /// A service says who it is, and who owns the versions; an error: another one is to be turned to.
+    fn welcomed(&self, stream: u64, told: &Welcome) -> io::Result<()> {
+        let mut desk = lock(&self.desk);
+        if told.name_term > 0 {
+            if desk.displaced.take().is_some() {
+                tracing::info!(name_term = told.name_term, "this process has the proxy's name again");
+            }
+            desk.name_term = told.name_term;
+        }
+        let owner = told.owner.as_ref().filter(|owner| owner.duty == VERSIONS);
+        let named = owner.map(|owner| (owner.member, owner.term));
+        let seen = if seams::out("receiver") { 0 } else { desk.terms.term(VERSIONS) };
+        let now = self.now();
+        if desk.seek.welcomed(now, told.member, named, seen) {
+            return Err(io::Error::other(match named {
+                Some((owner, term)) => format!("member {owner} owns the versions, under term {term}"),
+                None => "it names no owner of the versions".into(),
+            }));
+        }
+        drop(desk);
+        match named {
+            Some((owner, term)) if owner == told.member => self.said(term, Said::Owns(stream)),
+            _ => self.connected.store(false, Ordering::Relaxed),
+        }
+        Ok(())
+    }
+
     /// One stream to a service.
     fn stream(&self, service: SocketAddr, stream: u64) -> io::Result<()> {
         let socket = TcpStream::connect_timeout(&service, CONNECT_WITHIN)?;
@@ -328,7 +488,17 @@
             let in_force = desk.ledger.in_force().map(|taken| taken.version.clone());
             let age_ms = (self.now() - desk.ledger.since()).max(0.0) as u64;
             let (proxy, build) = (self.settings.proxy.clone(), self.settings.build.clone());
-            let hello = Hello { protocol: PROTOCOL, proxy, in_force, build, age_ms };
+            let seen = desk.terms.terms().iter();
+            let hello = Hello {
+                protocol: PROTOCOL,
+                proxy,
+                in_force,
+                build,
+                age_ms,
+                incarnation: self.incarnation,
+                name_term: desk.name_term,
+                seen: seen.map(|(duty, term)| Seen { duty: duty.clone(), term: *term }).collect(),
+            };
             channel.send(&FromClient { said: Some(from_client::Said::Hello(hello)) })?;
         }
         let began = Instant::now();
@@ -344,19 +514,27 @@
                             return Err(io::Error::other(format!("it speaks form {}", told.protocol)));
                         }
                         if !welcome {
-                            tracing::info!(%service, lineage = told.lineage, "follows the versions of a service");
+                            let (lineage, member) = (told.lineage, told.member);
+                            tracing::info!(%service, lineage, member, "a service is here");
                         }
                         welcome = true;
-                        self.connected.store(true, Ordering::Relaxed);
+                        self.welcomed(stream, &told)?;
+                    }
+                    Some(from_service::Said::Displaced(told)) => {
+                        let (name_term, by) = (told.name_term, format!("{:016x}", told.by));
+                        tracing::error!(
+                            name_term,
+                            by,
+                            "another process has this proxy's name: nothing is offered here"
+                        );
+                        lock(&self.desk).displaced = Some((told.by, told.name_term));
                     }
                     Some(from_service::Said::Offer(offer)) if welcome => {
-                        let version = offer.version.as_ref().map_or(0, |version| version.number);
-                        tracing::info!(version, nonce = offer.nonce, "version offered");
-                        self.tell(Event::Offered(stream, Box::new(offer)));
+                        self.said(offer.term, Said::Offer(stream, Box::new(offer)));
                     }
                     // What a later build says is not for this one; what comes before the welcome is no service's.
                     Some(from_service::Said::Offer(_)) => return Err(io::Error::other("it offers unasked")),
-                    Some(from_service::Said::Reply(_)) | None => {}
+                    Some(from_service::Said::Reply(_) | from_service::Said::PeerWelcome(_)) | None => {}
                 }
             }
             if closed {
--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -171,6 +171,11 @@
     }
 }
 
+/// The same of an address that a service names.
+pub fn allowed_text(address: &str, keys: bool) -> bool {
+    address.parse().is_ok_and(|address| allowed(address, keys).is_ok())
+}
+
 /// Whether a peer's certificate carries this name.
 pub fn carries(certificate: &CertificateDer<'_>, name: &str) -> bool {
     let Ok(name) = ServerName::try_from(name) else { return false };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,12 +6,23 @@
 
 pub mod backoff;
 pub mod call;
+mod calls;
 pub mod channel;
 pub mod cli;
+pub mod clock;
 mod commands;
+mod driving;
 pub mod follow;
 pub mod frame;
+pub mod group;
+mod group_commands;
 pub mod keys;
+mod node;
+mod opened;
+pub mod peers;
+mod raft_log;
+mod raft_wire;
+pub mod seams;
 pub mod service;
 
 use std::path::Path;
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,573 @@
+//! One member's turn with the raft library and the store, on a thread of its own: jobs, ticks, what is ready to be stored,
+//! told and applied, and the leader's wishes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+use gaugestep_config::schema::act::What;
+use gaugestep_config::schema::peer::Said;
+use gaugestep_config::schema::{self, Act, Member, RaftChange, Renew, Renewed, Yield};
+use gaugestep_duty::charter::{Change, Charter, Outcome};
+use gaugestep_duty::lease::{Action, Grantor, Timing};
+use gaugestep_store::versions::{Batch, Versions as Store};
+use prost::Message as _;
+use raft::eraftpb::{ConfChange, ConfChangeType, EntryType, Message, MessageType, Snapshot};
+use raft::{Config, RawNode, StateRole};
+
+use crate::group::{Group, Job, OnChange, Tell};
+use crate::opened::{Opened, spoilt, unpair};
+use crate::raft_log::Log;
+use crate::{clock, lock, peers, raft_wire};
+
+/// Between two ticks of the library's clock; an election begins after 10 to 20 without a word of the leader.
+const TICK: Duration = Duration::from_millis(100);
+const ELECTION: usize = 10;
+const HEARTBEAT: usize = 2;
+/// How long something may take to be agreed on before whoever asked is told that it is not, in milliseconds.
+const AGREED_WITHIN: f64 = 4_000.0;
+/// What is not agreed on after this time is proposed anew, in milliseconds: a message may be lost.
+const AGAIN: f64 = 1_000.0;
+/// Entries of the log that are kept behind the one applied last, and how many more there must be to let go of them.
+const LOG_KEPT: u64 = 256;
+const LOG_MUCH: u64 = 1_024;
+/// Bytes of entries in one message.
+const MESSAGE: u64 = 256 * 1024;
+/// Jobs taken before what they lead to is stored.
+const AT_ONCE: usize = 256;
+/// Jobs proposed that are not agreed on yet.
+const PENDING: usize = 1_024;
+/// Something that is proposed and not agreed on yet.
+struct Pending {
+    act: Option<Act>,
+    tell: Tell,
+    since: f64,
+    told: f64,
+}
+
+/// One turn with the library and the store.
+pub(crate) struct Node<'a> {
+    group: &'a Arc<Group>,
+    on_change: &'a OnChange,
+    raw: RawNode<Log>,
+    log: Log,
+    store: Store,
+    grantor: Grantor,
+    pending: BTreeMap<u64, Pending>,
+    next: u64,
+    /// What changed since the service was told.
+    changes: Vec<Change>,
+    /// Acts that were applied, for those who wait.
+    ended: Vec<(u64, Outcome)>,
+}
+
+/// Passes what the library logs on.
+struct Bridge;
+
+impl slog::Drain for Bridge {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        match record.level() {
+            slog::Level::Critical | slog::Level::Error => tracing::error!("raft: {}", record.msg()),
+            slog::Level::Warning => tracing::debug!("raft: {}", record.msg()),
+            _ => tracing::trace!("raft: {}", record.msg()),
+        }
+        Ok(())
+    }
+}
+
+impl<'a> Node<'a> {
+    pub(crate) fn start(
+        group: &'a Arc<Group>,
+        opened: Opened,
+        on_change: &'a OnChange,
+    ) -> Result<Self, String> {
+        let Opened { store, charter, hard, members, base, applied, entries, .. } = opened;
+        let (own, alone) = (group.own.number, members.voters == [group.own.number]);
+        {
+            let mut view = lock(&group.view);
+            (view.charter, view.applied, view.broken) = (charter, applied, None);
+        }
+        let sent = Arc::downgrade(group);
+        let whole = move || {
+            sent.upgrade().map(|it| lock(&it.view).charter.whole().encode_to_vec()).unwrap_or_default()
+        };
+        let log = Log::new(hard, members, base, entries, applied, Box::new(whole));
+        let config = Config {
+            id: own,
+            election_tick: ELECTION,
+            heartbeat_tick: HEARTBEAT,
+            applied,
+            max_size_per_msg: MESSAGE,
+            max_inflight_msgs: 64,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        let logger = slog::Logger::root(Bridge, slog::o!());
+        let mut raw = RawNode::new(&config, log.clone(), &logger).map_err(|error| error.to_string())?;
+        if alone {
+            // Nobody else can lead: no need to wait for a word of a leader.
+            raw.campaign().map_err(|error| error.to_string())?;
+        }
+        Ok(Node {
+            group,
+            on_change,
+            raw,
+            log,
+            store,
+            grantor: Grantor::new(Timing::default()),
+            pending: BTreeMap::new(),
+            next: 0,
+            changes: Vec::new(),
+            ended: Vec::new(),
+        })
+    }
+
+    pub(crate) fn run(mut self, work: &Receiver<Job>) -> Result<(), String> {
+        let ended = self.work(work);
+        for (_, pending) in std::mem::take(&mut self.pending) {
+            (pending.tell)(Err("the store of this member has failed".into()));
+        }
+        ended
+    }
+
+    fn work(&mut self, work: &Receiver<Job>) -> Result<(), String> {
+        let mut tick = Instant::now();
+        let mut keys = Instant::now();
+        loop {
+            let mut next = match work.recv_timeout(tick.saturating_duration_since(Instant::now())) {
+                Ok(job) => Some(job),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            };
+            for _ in 0..AT_ONCE {
+                let Some(job) = next.take() else { break };
+                self.take(job);
+                next = work.try_recv().ok();
+            }
+            if let Some(job) = next {
+                self.take(job);
+            }
+            if Instant::now() >= tick {
+                // One tick however long this process stood still: it must hear others before it stands for election.
+                tick = Instant::now() + TICK;
+                self.raw.tick();
+                self.group.links.wake();
+                if keys.elapsed() >= Duration::from_secs(1) {
+                    keys = Instant::now();
+                    if let Some((keys, _)) = self.group.keys() {
+                        keys.look();
+                    }
+                }
+            }
+            self.settle()?;
+            self.clocks();
+            self.settle()?;
+            let changes = std::mem::take(&mut self.changes);
+            if changes.contains(&Change::Members) {
+                peers::dial(self.group);
+                let gone = lock(&self.group.view).charter.removed.contains(&self.group.own.number);
+                if gone {
+                    self.group.end("this member was removed from its group");
+                }
+            }
+            (self.on_change)(&changes);
+            for (number, outcome) in std::mem::take(&mut self.ended) {
+                if let Some(pending) = self.pending.remove(&number) {
+                    (pending.tell)(Ok(outcome));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, job: Job) {
+        let now = clock::now();
+        match job {
+            Job::Propose(act, tell) => {
+                if self.pending.len() >= PENDING {
+                    return tell(Err("too much waits to be agreed on".into()));
+                }
+                self.next += 1;
+                let told = f64::NEG_INFINITY;
+                self.pending.insert(self.next, Pending { act: Some(*act), tell, since: now, told });
+                self.propose(now, self.next);
+            }
+            Job::Join(member, tell) => {
+                let why = self.group.charter(|charter| charter.bars(&member));
+                let context = member.encode_to_vec();
+                self.change(now, ConfChangeType::AddNode, member.number, context, why, tell);
+            }
+            Job::Leave(member, tell) => {
+                let why = self.group.charter(|charter| match charter.members.contains_key(&member) {
+                    false => Some(format!("there is no member {member}")),
+                    true if charter.members.len() == 1 => Some("the last member cannot be removed".into()),
+                    true => None,
+                });
+                self.change(now, ConfChangeType::RemoveNode, member, Vec::new(), why, tell);
+            }
+            Job::Step(message) => {
+                let commit = message.get_msg_type() == MessageType::MsgHeartbeat;
+                if commit && message.commit > self.raw.raft.raft_log.last_index() {
+                    // The library ends with a panic where a member has lost what it acknowledged.
+                    self.group.end(
+                        "the store has lost what it acknowledged: remove this member, and add a new one",
+                    );
+                }
+                // An error says that the message is of no use, as one of a member that is not there any more.
+                let _ = self.raw.step(*message);
+            }
+            Job::Renew(member, number) => self.grantor.asked(now, member, number),
+            Job::Yield(wish) => {
+                if self.group.acts(&wish.duty) == Some(wish.term) {
+                    let what = Some(What::HandOver(wish.to));
+                    let act = Act { duty: wish.duty, term: wish.term, by: self.group.own.number, what };
+                    self.take(Job::Propose(Box::new(act), Box::new(|_| {})));
+                }
+            }
+            Job::Unreachable(member) => {
+                self.raw.report_unreachable(member);
+                self.raw.report_snapshot(member, raft::SnapshotStatus::Failure);
+            }
+            Job::Snapshot(member, arrived) => {
+                let status =
+                    if arrived { raft::SnapshotStatus::Finish } else { raft::SnapshotStatus::Failure };
+                self.raw.report_snapshot(member, status);
+            }
+        }
+    }
+
+    fn change(
+        &mut self,
+        now: f64,
+        kind: ConfChangeType,
+        member: u64,
+        context: Vec<u8>,
+        why: Option<String>,
+        tell: Tell,
+    ) {
+        if let Some(why) = why {
+            return tell(Ok(Outcome::Refused(why)));
+        }
+        let mut change = ConfChange { node_id: member, context: context.into(), ..ConfChange::default() };
+        change.set_change_type(kind);
+        self.next += 1;
+        match self.raw.propose_conf_change(self.mark(self.next), change) {
+            Ok(()) => {
+                let pending = Pending { act: None, tell, since: now, told: now };
+                self.pending.insert(self.next, pending);
+            }
+            Err(_) => tell(Err("members are changed at the leader, one at a time".into())),
+        }
+    }
+
+    /// What tells this process's proposals from all others.
+    fn mark(&self, number: u64) -> Vec<u8> {
+        [self.group.own.number, self.group.own.nonce, number].map(u64::to_be_bytes).concat()
+    }
+
+    fn propose(&mut self, now: f64, number: u64) {
+        let mark = self.mark(number);
+        let Some(pending) = self.pending.get_mut(&number) else { return };
+        let Some(act) = &pending.act else { return };
+        pending.told = now;
+        // Without a leader it is dropped, and proposed anew.
+        let _ = self.raw.propose(mark, act.encode_to_vec());
+    }
+
+    /// Looks at clocks: leases, and what waits to be agreed on.
+    fn clocks(&mut self) {
+        let now = clock::now();
+        let due: Vec<u64> =
+            self.pending.iter().filter(|(_, it)| now - it.told >= AGAIN).map(|(it, _)| *it).collect();
+        for number in due {
+            match self.pending.get(&number).is_some_and(|it| now - it.since < AGREED_WITHIN) {
+                true => self.propose(now, number),
+                false => {
+                    if let Some(pending) = self.pending.remove(&number) {
+                        (pending.tell)(Err("no majority of the control services answers".into()));
+                    }
+                }
+            }
+        }
+        let leads = self.raw.raft.state == StateRole::Leader && self.raw.raft.commit_to_current_term();
+        self.grantor.leads(now, leads);
+        let leader = self.raw.raft.leader_id;
+        let own = self.group.own.number;
+        let (asked, duties, members) = {
+            let mut view = lock(&self.group.view);
+            if view.leader != leader {
+                tracing::info!(member = own, leader, term = self.raw.raft.term, "leader");
+                view.leader = leader;
+            }
+            let asked = if leader > 0 { view.session.ask(now) } else { None };
+            let charter = &view.charter;
+            let duties = charter.duties.values().map(|it| (it.name.clone(), (it.owner, it.term)));
+            let duties: BTreeMap<String, (u64, u64)> = if leads { duties.collect() } else { BTreeMap::new() };
+            (asked, duties, charter.members.keys().copied().collect::<BTreeSet<u64>>())
+        };
+        match asked {
+            Some(number) if leader == own => self.grantor.asked(now, own, number),
+            Some(number) => {
+                self.group.links.say(leader, Said::Renew(Renew { member: own, number }));
+            }
+            None => {}
+        }
+        if leads {
+            self.announce();
+        }
+        let actions = self.grantor.tick(now, &duties, &members);
+        self.carry_out(actions);
+    }
+
+    /// Has it agreed where members are reached, once a later start of one was heard of.
+    fn announce(&mut self) {
+        let own = self.group.own();
+        let later: Vec<Member> = {
+            let view = lock(&self.group.view);
+            let newer = |member: &&Member| {
+                let known = view.charter.members.get(&member.number);
+                known.is_some_and(|known| member.boot > known.boot)
+            };
+            view.book.values().chain([&own]).filter(newer).cloned().collect()
+        };
+        let asked = |it: &Pending, member: &Member| matches!(&it.act, Some(Act { what: Some(What::Member(asked)), .. }) if asked == member);
+        for member in later {
+            if !self.pending.values().any(|it| asked(it, &member)) {
+                let act = Act { by: own.number, what: Some(What::Member(member)), ..Act::default() };
+                self.take(Job::Propose(Box::new(act), Box::new(|_| {})));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        let own = self.group.own.number;
+        for action in actions {
+            match action {
+                Action::Confirm(number) => self.raw.read_index(number.to_be_bytes().to_vec()),
+                Action::Grant { member, number } => {
+                    let applied = self.raw.raft.raft_log.committed;
+                    match member == own {
+                        true => lock(&self.group.view).session.granted(number, applied),
+                        false => {
+                            let renewed = Renewed { member, number, applied };
+                            self.group.links.say(member, Said::Renewed(renewed));
+                        }
+                    }
+                }
+                Action::Assign { duty, term, to } => {
+                    tracing::info!(duty, term, to, "assigns a duty");
+                    let act = Act { duty, term, by: own, what: Some(What::Assign(to)) };
+                    self.take(Job::Propose(Box::new(act), Box::new(|_| {})));
+                }
+                Action::Yield { duty, term, from, to } => {
+                    tracing::info!(duty, term, from, to, "asks for a duty to be handed over");
+                    let wish = Yield { duty, term, to };
+                    match from == own {
+                        true => self.take(Job::Yield(wish)),
+                        false => {
+                            self.group.links.say(from, Said::Yield(wish));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Stores, tells and applies all that the library has ready.
+    fn settle(&mut self) -> Result<(), String> {
+        while self.raw.has_ready() {
+            let mut ready = self.raw.ready();
+            self.say(ready.take_messages());
+            let mut batch = Batch { sync: ready.must_sync(), ..Batch::default() };
+            if !ready.snapshot().is_empty() {
+                self.install(ready.snapshot(), &mut batch)?;
+            }
+            if let Some(first) = ready.entries().first() {
+                batch.log_from = Some(first.index);
+                let stored = |it: &raft::eraftpb::Entry| (it.index, raft_wire::entry(it).encode_to_vec());
+                batch.log = ready.entries().iter().map(stored).collect();
+            }
+            if let Some(hard) = ready.hs() {
+                batch.values.push(("hard", raft_wire::hard(hard).encode_to_vec()));
+                self.log.set_hard(hard.clone());
+            }
+            let committed = ready.take_committed_entries();
+            self.apply(committed, &mut batch)?;
+            // Stored before it is told.
+            self.store.write(&batch)?;
+            self.log.append(ready.entries());
+            self.say(ready.take_persisted_messages());
+            let reads = ready.take_read_states();
+            let mut light = self.raw.advance(ready);
+            let mut batch = Batch::default();
+            if let Some(commit) = light.commit_index() {
+                let hard = self.log.set_commit(commit);
+                batch.values.push(("hard", raft_wire::hard(&hard).encode_to_vec()));
+            }
+            self.say(light.take_messages());
+            let committed = light.take_committed_entries();
+            if !committed.is_empty() {
+                self.apply(committed, &mut batch)?;
+                if let Some(base) = self.log.compact(LOG_KEPT, LOG_MUCH) {
+                    // What is applied must be on disk before the entries that it came from are let go.
+                    batch.values.push(("base", unpair(base)));
+                    (batch.log_below, batch.sync) = (Some(base.0 + 1), true);
+                }
+                self.store.write(&batch)?;
+            }
+            self.raw.advance_apply();
+            for read in reads {
+                if let Ok(number) = <[u8; 8]>::try_from(read.request_ctx.as_slice()) {
+                    let granted = self.grantor.confirmed(u64::from_be_bytes(number));
+                    self.carry_out(granted);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn say(&self, messages: Vec<Message>) {
+        for message in messages {
+            let (to, snapshot) = (message.to, message.get_msg_type() == MessageType::MsgSnapshot);
+            let said = self.group.links.say(to, Said::Raft(raft_wire::message(&message)));
+            if snapshot {
+                // What gets lost behind this is sent anew, as the member says what it lacks.
+                self.group.job(Job::Snapshot(to, said));
+            }
+        }
+    }
+
+    /// Takes all that is agreed from a member that is further.
+    fn install(&mut self, snapshot: &Snapshot, batch: &mut Batch) -> Result<(), String> {
+        let told = schema::Charter::decode(snapshot.data.as_ref());
+        let charter = Charter::of(told.map_err(|error| spoilt("what another member sent", error))?);
+        let meta = snapshot.get_metadata();
+        let (base, members) = ((meta.index, meta.term), meta.get_conf_state().clone());
+        let mut view = lock(&self.group.view);
+        batch.dropped = view.charter.versions.keys().copied().collect();
+        for (number, held) in &charter.versions {
+            batch.documents.push((*number, held.document.encode_to_vec()));
+            batch.entries.push((*number, held.entry.encode_to_vec()));
+        }
+        batch.values.extend([
+            ("charter", charter.stored().encode_to_vec()),
+            ("members", raft_wire::members(&members).encode_to_vec()),
+            ("base", unpair(base)),
+            ("applied", base.0.to_be_bytes().to_vec()),
+        ]);
+        (batch.log_below, batch.sync) = (Some(base.0 + 1), true);
+        let dropped = view.charter.versions.keys().filter(|it| !charter.versions.contains_key(it));
+        self.changes.extend(dropped.map(|number| Change::Dropped(*number)));
+        self.changes.extend(charter.versions.keys().map(|number| Change::Version(*number)));
+        self.changes.extend(charter.duties.keys().map(|duty| Change::Owner(duty.clone())));
+        self.changes.push(Change::Members);
+        tracing::info!(
+            index = base.0,
+            versions = charter.versions.len(),
+            "took all that is agreed from another member"
+        );
+        (view.charter, view.applied) = (charter, base.0);
+        self.log.restart(base, members);
+        Ok(())
+    }
+
+    /// Applies entries that are agreed on, and notes what is to be stored of it.
+    fn apply(&mut self, entries: Vec<raft::eraftpb::Entry>, batch: &mut Batch) -> Result<(), String> {
+        let Some(last) = entries.last().map(|entry| entry.index) else { return Ok(()) };
+        let mut changes = Vec::new();
+        for entry in entries {
+            let (outcome, changed) = match entry.get_entry_type() {
+                EntryType::EntryConfChange => self.change_members(&entry, batch)?,
+                _ if entry.data.is_empty() => continue,
+                _ => match Act::decode(entry.data.as_ref()) {
+                    Err(error) => (Outcome::Refused(error.to_string()), Vec::new()),
+                    Ok(act) => self.act(&act),
+                },
+            };
+            if let Outcome::Refused(why) = &outcome {
+                tracing::debug!(index = entry.index, "refused: {why}");
+            }
+            changes.extend(changed);
+            let mark = entry.context.as_ref();
+            if mark.len() == 24 && mark[..16] == self.mark(0)[..16] {
+                let number = mark[16..].try_into().map_or(0, u64::from_be_bytes);
+                self.ended.push((number, outcome));
+            }
+        }
+        let mut view = lock(&self.group.view);
+        view.applied = last;
+        self.log.set_applied(last);
+        batch.values.push(("applied", last.to_be_bytes().to_vec()));
+        if !changes.is_empty() {
+            batch.values.push(("charter", view.charter.stored().encode_to_vec()));
+        }
+        for change in &changes {
+            match change {
+                Change::Version(number) | Change::Entry(number) => {
+                    let Some(held) = view.charter.versions.get(number) else { continue };
+                    if matches!(change, Change::Version(_)) {
+                        batch.documents.push((*number, held.document.encode_to_vec()));
+                    }
+                    batch.entries.push((*number, held.entry.encode_to_vec()));
+                }
+                Change::Dropped(number) => batch.dropped.push(*number),
+                Change::Owner(_) | Change::Duty(_) | Change::Members => {}
+            }
+        }
+        self.changes.extend(changes);
+        Ok(())
+    }
+
+    fn act(&mut self, act: &Act) -> (Outcome, Vec<Change>) {
+        let mut view = lock(&self.group.view);
+        let (outcome, changes) = view.charter.apply(act);
+        if let Outcome::Stale { term, present } = outcome {
+            // An assignment that was proposed twice is nobody's old act.
+            if !matches!(act.what, Some(What::Assign(_))) {
+                *view.stale.entry(act.duty.clone()).or_default() += 1;
+                tracing::warn!(duty = act.duty, term, present, by = act.by, "stale act refused");
+            }
+        }
+        for change in &changes {
+            if let Change::Owner(duty) = change {
+                let (owner, term) = view.charter.owner(duty);
+                view.since.insert(duty.clone(), clock::now());
+                tracing::info!(duty, term, owner, "owner");
+            }
+        }
+        (outcome, changes)
+    }
+
+    fn change_members(
+        &mut self,
+        entry: &raft::eraftpb::Entry,
+        batch: &mut Batch,
+    ) -> Result<(Outcome, Vec<Change>), String> {
+        let told =
+            RaftChange::decode(entry.data.as_ref()).map_err(|error| spoilt("a change of members", error))?;
+        let mut change = ConfChange { node_id: told.member, ..ConfChange::default() };
+        let adds = told.kind == ConfChangeType::AddNode as i32;
+        change.set_change_type(if adds { ConfChangeType::AddNode } else { ConfChangeType::RemoveNode });
+        let members = self.raw.apply_conf_change(&change).map_err(|error| error.to_string())?;
+        batch.values.push(("members", raft_wire::members(&members).encode_to_vec()));
+        tracing::info!(voters = ?members.voters, "members");
+        self.log.set_members(members);
+        let mut view = lock(&self.group.view);
+        let changes = match adds {
+            true => {
+                let member = Member::decode(told.context.as_slice()).unwrap_or_default();
+                view.charter.join(member)
+            }
+            false => {
+                view.book.remove(&told.member);
+                view.heard.remove(&told.member);
+                view.charter.leave(told.member)
+            }
+        };
+        Ok((Outcome::Done, changes))
+    }
+}
--- /dev/null
+++ b/crates/control/src/opened.rs
@@ -0,0 +1,132 @@
+//! What a member finds in its store at a start, and whether it may use it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use gaugestep_config::Document;
+use gaugestep_config::schema::{self, Entry, Member};
+use gaugestep_duty::charter::{Charter, Held};
+use gaugestep_duty::seal::{Found, boot};
+use gaugestep_store::seal;
+use gaugestep_store::versions::{Batch, Versions as Store};
+use prost::Message as _;
+use raft::eraftpb::{ConfState, HardState};
+
+use crate::group::Settings;
+use crate::raft_wire;
+
+/// A store as it was found.
+pub(crate) struct Opened {
+    pub(crate) store: Store,
+    pub(crate) boot: u64,
+    pub(crate) charter: Charter,
+    pub(crate) hard: HardState,
+    pub(crate) members: ConfState,
+    pub(crate) base: (u64, u64),
+    pub(crate) applied: u64,
+    pub(crate) entries: Vec<raft::eraftpb::Entry>,
+}
+
+pub(crate) fn spoilt(what: &str, error: impl std::fmt::Display) -> String {
+    format!("{what} cannot be read: {error}")
+}
+
+fn pair(bytes: &[u8]) -> Option<(u64, u64)> {
+    let (first, second) = bytes.split_first_chunk::<8>()?;
+    Some((u64::from_be_bytes(*first), u64::from_be_bytes(second.try_into().ok()?)))
+}
+
+pub(crate) fn unpair((first, second): (u64, u64)) -> Vec<u8> {
+    [first.to_be_bytes(), second.to_be_bytes()].concat()
+}
+
+impl Opened {
+    /// Opens the store; `again`: the number of this boot, if the store was opened before.
+    pub(crate) fn open(settings: &Settings, again: Option<u64>) -> Result<Self, String> {
+        let path = &settings.store;
+        let failed = |error: std::io::Error| format!("{}: {error}", path.display());
+        let store = Store::open(path)?;
+        let kept = |name: &str| store.value(name);
+        let single = |bytes: Vec<u8>| bytes.try_into().map(u64::from_be_bytes).unwrap_or(0);
+        let charter = kept("charter")?;
+        let charter = charter.map(|bytes| schema::Charter::decode(bytes.as_slice())).transpose();
+        let charter = charter.map_err(|error| spoilt("what is agreed", error))?;
+        let boot = match again {
+            Some(boot) => boot,
+            None => {
+                let boots = kept("boots")?.map_or(0, single);
+                let file = seal::file(path).map_err(failed)?;
+                let found = Found { boots, file, seal: seal::read(path).map_err(failed)? };
+                let several = charter.as_ref().is_some_and(|charter| charter.members.len() > 1);
+                let boot = boot(found, settings.restored && !several).map_err(|refused| {
+                    let way = match several {
+                        true => {
+                            "remove this member with `members remove`, and add a new one with an empty store"
+                        }
+                        false => "if whoever used it is gone for good, start with `serve --restored`",
+                    };
+                    format!("{}: {refused}; {way}", path.display())
+                })?;
+                // Store before seal: a kill in between leaves the store one ahead, never behind.
+                let values = vec![("boots", boot.to_be_bytes().to_vec())];
+                store.write(&Batch { values, sync: true, ..Batch::default() })?;
+                seal::write(path, boot, file).map_err(failed)?;
+                boot
+            }
+        };
+        let mut versions = BTreeMap::new();
+        for stored in store.all()? {
+            let entry = Entry::decode(stored.entry.as_slice()).map_err(|error| spoilt("a version", error))?;
+            let document = Document::decode(stored.document.as_slice());
+            let document = Arc::new(document.map_err(|error| spoilt("a document", error))?);
+            versions.insert(stored.number, Held { entry, document });
+        }
+        if let Some(told) = charter {
+            let hard = kept("hard")?.unwrap_or_default();
+            let hard =
+                schema::RaftHard::decode(hard.as_slice()).map_err(|error| spoilt("the vote", error))?;
+            let members = kept("members")?.unwrap_or_default();
+            let members = schema::RaftMembers::decode(members.as_slice());
+            let members = members.map_err(|error| spoilt("the members", error))?;
+            let base = kept("base")?.and_then(|bytes| pair(&bytes)).ok_or("the log has no beginning")?;
+            let mut entries = Vec::new();
+            for (index, bytes) in store.log()?.into_iter().filter(|(index, _)| *index > base.0) {
+                let told =
+                    schema::RaftEntry::decode(bytes.as_slice()).map_err(|error| spoilt("the log", error))?;
+                let entry = raft_wire::of_entry(told).filter(|_| index == base.0 + 1 + entries.len() as u64);
+                entries.push(entry.ok_or("the log has a gap")?);
+            }
+            let applied = kept("applied")?.map_or(0, single);
+            let charter = Charter { versions, ..Charter::of(told) };
+            let (hard, members) = (raft_wire::of_hard(hard), raft_wire::of_members(members));
+            return Ok(Opened { store, boot, charter, hard, members, base, applied, entries });
+        }
+        let (mut hard, mut members) = (HardState::default(), ConfState::default());
+        let (charter, base) = match settings.joins {
+            true => (Charter::default(), (0, 0)),
+            false => {
+                // Alone, with what an older build left: as if it had been agreed on by a first entry.
+                members.voters = vec![settings.member.number];
+                (hard.term, hard.vote, hard.commit) = (1, settings.member.number, 1);
+                let member = Member { boot, nonce: settings.seed | 1, ..settings.member.clone() };
+                (Charter::alone(store.lineage(settings.seed.max(1))?, member, versions), (1, 1))
+            }
+        };
+        let opened =
+            Opened { store, boot, charter, hard, members, base, applied: base.0, entries: Vec::new() };
+        let mut batch = Batch { sync: true, ..Batch::default() };
+        opened.all_into(&mut batch);
+        opened.store.write(&batch)?;
+        Ok(opened)
+    }
+
+    fn all_into(&self, batch: &mut Batch) {
+        batch.values.extend([
+            ("charter", self.charter.stored().encode_to_vec()),
+            ("hard", raft_wire::hard(&self.hard).encode_to_vec()),
+            ("members", raft_wire::members(&self.members).encode_to_vec()),
+            ("base", unpair(self.base)),
+            ("applied", self.applied.to_be_bytes().to_vec()),
+        ]);
+    }
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,269 @@
+//! What members of a group say to each other. Each member dials each other one and speaks on what it dialed; what it is
+//! told comes on the streams that others dialed. Messages may be lost: what matters is told anew.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use gaugestep_coio::stream::Waker;
+use gaugestep_coio::task;
+use gaugestep_config::PROTOCOL;
+use gaugestep_config::schema::peer::Said;
+use gaugestep_config::schema::{
+    FromClient, FromService, Member, Peer, PeerHello, PeerWelcome, Piece, Ping, RaftMessage, from_client,
+    from_service,
+};
+use may::net::TcpStream;
+use prost::Message as _;
+
+use crate::backoff::Backoff;
+use crate::channel::{Channel, STACK_WORDS};
+use crate::clock;
+use crate::group::Group;
+use crate::keys::ClientKeys;
+use crate::lock;
+
+/// A member that cannot be reached within this time is given up for now; one that is silent for so long too.
+const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
+const SILENCE: Duration = Duration::from_secs(4);
+/// How often a member shows that it lives.
+const PING_EVERY: Duration = Duration::from_millis(1_000);
+/// The longest wait before a member is dialed anew, in milliseconds.
+const DIAL_AGAIN: f64 = 1_000.0;
+/// Messages that may wait for one member; the oldest give way.
+const WAITING: usize = 512;
+/// Bytes of a message that is sent in one piece, and of all pieces of one.
+const PIECE: usize = 512 * 1024;
+const PIECES: usize = 256 * 1024 * 1024;
+
+/// What waits for one member.
+#[derive(Default)]
+struct Link {
+    queue: VecDeque<Peer>,
+    waker: Option<Waker>,
+    welcome: bool,
+}
+
+/// The links to all others.
+#[derive(Default)]
+pub struct Links(Mutex<BTreeMap<u64, Link>>);
+
+impl Links {
+    /// Adds a message for a member; false if nobody can be told now.
+    pub fn say(&self, member: u64, said: Said) -> bool {
+        let mut links = lock(&self.0);
+        let Some(link) = links.get_mut(&member).filter(|link| link.welcome) else { return false };
+        if link.queue.len() >= WAITING {
+            link.queue.pop_front();
+        }
+        link.queue.push_back(Peer { said: Some(said) });
+        if let Some(waker) = &link.waker {
+            waker.wakeup();
+        }
+        true
+    }
+
+    /// Wakes all that wait, so that they look at their clocks.
+    pub fn wake(&self) {
+        lock(&self.0).values().filter_map(|link| link.waker.as_ref()).for_each(Waker::wakeup);
+    }
+
+    /// Members whose stream is open.
+    pub fn open(&self) -> Vec<u64> {
+        lock(&self.0).iter().filter(|(_, link)| link.welcome).map(|(member, _)| *member).collect()
+    }
+
+    fn ended(&self, member: u64) {
+        if let Some(link) = lock(&self.0).get_mut(&member) {
+            *link = Link::default();
+        }
+    }
+}
+
+/// Dials those members that are not dialed yet, and leaves those alone that are members no more.
+pub fn dial(group: &Arc<Group>) {
+    let wanted: Vec<u64> = group.others();
+    let mut links = lock(&group.links.0);
+    links.retain(|member, _| wanted.contains(member));
+    for member in wanted {
+        if links.contains_key(&member) {
+            continue;
+        }
+        links.insert(member, Link::default());
+        let group = group.clone();
+        let dialing = task::spawn_deep("member", STACK_WORDS, move || keep_dialed(&group, member));
+        if let Err(error) = dialing {
+            tracing::error!(member, "no coroutine for a member: {error}");
+        }
+    }
+}
+
+fn keep_dialed(group: &Arc<Group>, member: u64) {
+    let mut backoff = Backoff::new(group.own().nonce ^ member);
+    let mut told = String::new();
+    while lock(&group.links.0).contains_key(&member) {
+        let began = Instant::now();
+        let ended = match group.address(member) {
+            Some(address) => talk(group, member, address),
+            None => Err(io::Error::other("its address is not known")),
+        };
+        group.links.ended(member);
+        group.unreachable(member);
+        let why = ended.err().map_or_else(|| "it has closed".into(), |error| error.to_string());
+        // The same again and again says nothing new.
+        if why != told {
+            tracing::info!(member, "the stream to a member ended: {why}");
+            told = why;
+        }
+        let wait = backoff.ended(began.elapsed().as_secs_f64() * 1e3).min(DIAL_AGAIN);
+        task::sleep(Duration::from_secs_f64(wait / 1e3));
+    }
+}
+
+fn talk(group: &Arc<Group>, member: u64, address: SocketAddr) -> io::Result<()> {
+    let socket = TcpStream::connect_timeout(&address, CONNECT_WITHIN)?;
+    let keys = group.keys().map(|(keys, name)| (ClientKeys::now(keys), name));
+    let mut channel = Channel::connected(socket, keys)?;
+    if let Some(link) = lock(&group.links.0).get_mut(&member) {
+        link.waker = Some(channel.waker());
+    }
+    let hello =
+        PeerHello { protocol: PROTOCOL, lineage: group.lineage(), from: Some(group.own()), to: member };
+    channel.send(&FromClient { said: Some(from_client::Said::PeerHello(hello)) })?;
+    let (mut heard, mut pinged, mut welcome) = (Instant::now(), Instant::now(), false);
+    let mut pieces: VecDeque<Piece> = VecDeque::new();
+    loop {
+        let closed = channel.pump()?;
+        while let Some(message) = channel.take::<FromService>()? {
+            let Some(from_service::Said::PeerWelcome(told)) = message.said else {
+                return Err(io::Error::other("a message that is not due"));
+            };
+            heard = Instant::now();
+            welcomed(group, member, &told)?;
+            if !welcome {
+                welcome = true;
+                if let Some(link) = lock(&group.links.0).get_mut(&member) {
+                    link.welcome = true;
+                }
+                tracing::info!(member, %address, "speaks to a member");
+            }
+        }
+        if closed {
+            return Ok(());
+        }
+        if heard.elapsed() >= SILENCE {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "it is silent"));
+        }
+        if !lock(&group.links.0).contains_key(&member) {
+            return Err(io::Error::other("it is no member any more"));
+        }
+        if welcome && pinged.elapsed() >= PING_EVERY {
+            pinged = Instant::now();
+            send(&mut channel, Peer { said: Some(Said::Ping(Ping {})) })?;
+        }
+        // What has left is with the kernel: a peer that does not read lets only this much wait.
+        while channel.flushed() {
+            if let Some(piece) = pieces.pop_front() {
+                send(&mut channel, Peer { said: Some(Said::Piece(piece)) })?;
+            } else {
+                let next = lock(&group.links.0).get_mut(&member).and_then(|link| link.queue.pop_front());
+                let Some(peer) = next else { break };
+                match peer.encoded_len() <= PIECE {
+                    true => send(&mut channel, peer)?,
+                    false => pieces = cut(&peer.encode_to_vec()),
+                }
+            }
+            channel.pump()?;
+        }
+        channel.pump()?;
+        channel.wait();
+    }
+}
+
+fn send(channel: &mut Channel, peer: Peer) -> io::Result<()> {
+    channel.send(&FromClient { said: Some(from_client::Said::Peer(peer)) })
+}
+
+fn cut(bytes: &[u8]) -> VecDeque<Piece> {
+    let parts = bytes.len().div_ceil(PIECE);
+    let piece = |(at, part): (usize, &[u8])| Piece { part: part.to_vec(), last: at + 1 == parts };
+    bytes.chunks(PIECE).enumerate().map(piece).collect()
+}
+
+fn welcomed(group: &Arc<Group>, member: u64, told: &PeerWelcome) -> io::Result<()> {
+    if told.fatal && told.member == member {
+        group.end(&format!("member {member} does not let this one in: {}", told.refused));
+    }
+    if told.member != member {
+        return Err(io::Error::other(format!("member {} is there, not member {member}", told.member)));
+    }
+    if !told.refused.is_empty() {
+        return Err(io::Error::other(told.refused.clone()));
+    }
+    group.note(&told.members);
+    Ok(())
+}
+
+/// A peer's side of a stream that it dialed.
+pub struct Incoming {
+    /// Who speaks.
+    pub member: u64,
+    pieces: Vec<u8>,
+}
+
+impl Incoming {
+    /// Lets a peer in, or says why not.
+    pub fn hello(group: &Arc<Group>, hello: &PeerHello) -> (PeerWelcome, Option<Self>) {
+        let from: Member = hello.from.clone().unwrap_or_default();
+        let verdict = group.admits(hello);
+        let (refused, fatal) = verdict.err().unwrap_or_default();
+        let welcome = group.welcome();
+        if !refused.is_empty() {
+            tracing::warn!(member = from.number, boot = from.boot, "a member is not let in: {refused}");
+            return (PeerWelcome { refused, fatal, members: Vec::new(), ..welcome }, None);
+        }
+        tracing::info!(member = from.number, boot = from.boot, "a member is here");
+        group.note(std::slice::from_ref(&from));
+        (welcome, Some(Incoming { member: from.number, pieces: Vec::new() }))
+    }
+
+    /// Takes what the peer says; an answer, if one is due.
+    pub fn take(&mut self, group: &Arc<Group>, peer: Peer) -> io::Result<Option<PeerWelcome>> {
+        group.heard(self.member, clock::now());
+        match peer.said {
+            Some(Said::Ping(_)) => return Ok(Some(group.welcome())),
+            Some(Said::Piece(piece)) => {
+                if self.pieces.len() + piece.part.len() > PIECES {
+                    return Err(io::Error::other("a message of too many pieces"));
+                }
+                self.pieces.extend_from_slice(&piece.part);
+                if piece.last {
+                    let whole = Peer::decode(std::mem::take(&mut self.pieces).as_slice())
+                        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+                    if let Some(Said::Raft(raft)) = whole.said {
+                        self.raft(group, raft)?;
+                    }
+                }
+            }
+            Some(Said::Raft(raft)) => self.raft(group, raft)?,
+            Some(Said::Renew(renew)) if renew.member == self.member => {
+                group.renew(renew.member, renew.number)
+            }
+            Some(Said::Renewed(renewed)) if renewed.member == group.own().number => group.renewed(&renewed),
+            Some(Said::Yield(wish)) => group.asked_to_yield(wish),
+            Some(Said::Renew(_) | Said::Renewed(_)) | None => {}
+        }
+        Ok(None)
+    }
+
+    fn raft(&self, group: &Arc<Group>, told: RaftMessage) -> io::Result<()> {
+        if told.from != self.member || told.to != group.own().number {
+            return Err(io::Error::other("a message of another member, or for one"));
+        }
+        let message = crate::raft_wire::of_message(told);
+        group.step(message.ok_or_else(|| io::Error::other("a message that this build does not know"))?);
+        Ok(())
+    }
+}
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,47 +1,45 @@
-//! The control service: a shell round the [`Rollout`], which decides who is offered what.
+//! The control service: listeners, and the streams of proxies and of the group's other members. What is agreed on lies in
+//! the [`Group`]; who is offered what is in `driving`, what operators ask for in `calls`.
 //!
-//! Each stream is one coroutine. A thread of its own keeps versions, one change behind the other: nothing is offered
-//! before it is stored. The documents are held in memory too, once each, whatever the number of proxies.
+//! Each stream is one coroutine.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::{Duration, Instant};
 
 use gaugestep_coio::stream::Waker;
 use gaugestep_coio::task;
-use gaugestep_config::rollout::{Action, Event, Rollout};
-use gaugestep_config::schema::entry::State;
-use gaugestep_config::schema::offer::Content;
+use gaugestep_config::rollout::{Event, Rollout};
 use gaugestep_config::schema::{
-    Call, Entry, Fleet, FromClient, FromService, Hello, Offer, Plan, Proxy, Published, Reply, Shown,
-    Versions, Welcome, call, from_client, from_service, reply,
+    Displaced, FromClient, FromService, Hello, Member, Progress, Welcome, from_client, from_service,
 };
-use gaugestep_config::{Document, PROTOCOL, check, delta, schema, short, version};
-use gaugestep_store::versions::{Stored, Versions as Store};
+use gaugestep_config::{PROTOCOL, schema};
+use gaugestep_duty::VERSIONS;
+use gaugestep_duty::doubt::Doubt;
+use gaugestep_duty::names::{Given, Names};
 use may::net::{TcpListener, TcpStream};
-use prost::Message as _;
 
 use crate::channel::{Channel, STACK_WORDS};
+use crate::group::{self, Group};
 use crate::keys::{self, Files, ServerKeys};
-use crate::lock;
+use crate::peers::Incoming;
+use crate::{clock, lock};
 
 /// A peer that has not said who it is within this time, or has been silent for so long, is closed.
 const HELLO_WITHIN: Duration = Duration::from_secs(5);
-const SILENCE: Duration = Duration::from_secs(10);
+pub(crate) const SILENCE: Duration = Duration::from_secs(10);
 /// How often clocks are looked at, and keys.
 const LOOK: Duration = Duration::from_millis(100);
 const KEYS_EVERY: Duration = Duration::from_secs(1);
-/// Operators' calls open together.
-const CALLS: usize = 64;
+/// A service that stood still for so many milliseconds has proxies come anew.
+const STOOD_STILL: f64 = 2_000.0;
 /// Between tries to accept after an error.
 const PAUSE: Duration = Duration::from_millis(50);
-/// Bytes of a proxy's name and build, and of what an operator writes about a version.
-const NAME: usize = 128;
-const WORDS: usize = 4_096;
+/// Bytes of a proxy's name and build.
+pub(crate) const NAME: usize = 128;
 
 /// How a service runs.
 #[derive(Clone, Debug)]
@@ -58,6 +56,14 @@
     pub keep: usize,
     /// Streams open together.
     pub streams: usize,
+    /// This service as a member of its group.
+    pub member: Member,
+    /// It has an empty store and waits to be added.
+    pub joins: bool,
+    /// The name that the other members' certificates carry.
+    pub service_name: String,
+    /// The store is used although it is a copy or older than its seal.
+    pub restored: bool,
 }
 
 impl Settings {
@@ -84,10 +90,30 @@
         for address in [listen, operators] {
             keys::allowed(address, keys.is_some())?;
         }
+        let group = told.group.clone().unwrap_or_default();
+        if keys.is_some() && told.group.is_some() && group.service_name.is_empty() {
+            return Err("'group.service_name' is missing".into());
+        }
+        let shown = |field: &str, own: SocketAddr, text: &str| -> Result<String, String> {
+            if text.is_empty() {
+                return Ok(own.to_string());
+            }
+            address(field, text).map(|address| address.to_string())
+        };
+        let member = Member {
+            number: if group.member == 0 { 1 } else { group.member },
+            listen: shown("group.listen_as", listen, &group.listen_as)?,
+            operators: shown("group.operators_as", operators, &group.operators_as)?,
+            ..Member::default()
+        };
         Ok(Settings {
             listen,
             operators,
             store: PathBuf::from(&told.store),
+            member,
+            joins: group.joins,
+            service_name: group.service_name,
+            restored: false,
             keys,
             keep: told.keep.unwrap_or(100).max(1) as usize,
             streams: told.streams.unwrap_or(4_096).max(1) as usize,
@@ -95,243 +121,152 @@
     }
 }
 
-/// A version as it is held.
-struct Held {
-    entry: Entry,
-    document: Arc<Document>,
+/// What a stream's coroutine is to send, and who speaks on it.
+pub(crate) struct Line {
+    pub(crate) out: VecDeque<FromService>,
+    pub(crate) waker: Waker,
+    /// The proxy's hello, kept up with what it answered since, and when it came.
+    pub(crate) hello: Option<(Hello, f64)>,
+    /// The coroutine is to end: why.
+    pub(crate) end: Option<&'static str>,
 }
 
-/// What a stream's coroutine is to send.
-struct Line {
-    out: VecDeque<FromService>,
-    waker: Waker,
-}
+impl Line {
+    pub(crate) fn new(waker: Waker) -> Self {
+        Line { out: VecDeque::new(), waker, hello: None, end: None }
+    }
 
-struct Inner {
-    rollout: Rollout,
-    held: BTreeMap<u64, Held>,
-    lines: BTreeMap<u64, Line>,
-    next_stream: u64,
-    calls: usize,
+    pub(crate) fn say(&mut self, said: from_service::Said) {
+        self.out.push_back(FromService { said: Some(said) });
+        self.waker.wakeup();
+    }
+
+    /// The highest term of the versions that the proxy has seen.
+    pub(crate) fn seen(&self) -> u64 {
+        self.hello.as_ref().map_or(0, |(hello, _)| seen(hello))
+    }
 }
 
-/// Work for the thread that keeps versions.
-enum Job {
-    /// Publishes a document; who asked is told.
-    Publish(Box<Publishing>),
-    /// A version's state has changed.
-    Entry(Box<Entry>),
+/// The highest term of the versions that a proxy has seen.
+pub(crate) fn seen(hello: &Hello) -> u64 {
+    hello.seen.iter().filter(|it| it.duty == VERSIONS).map(|it| it.term).max().unwrap_or(0)
 }
 
-struct Publishing {
-    document: Arc<Document>,
-    author: String,
-    note: String,
-    plan: Plan,
-    rolls_back_to: u64,
-    expected_newest: u64,
-    tell: Option<may::sync::mpsc::Sender<Reply>>,
+#[derive(Default)]
+pub(crate) struct Inner {
+    /// Decides who is offered what, while this service owns the versions.
+    pub(crate) rollout: Rollout,
+    /// The term under which it does.
+    pub(crate) acting: Option<u64>,
+    /// What was told to the group of the rollout's progress, in which order, and what is not agreed on yet.
+    pub(crate) told: Option<Progress>,
+    pub(crate) told_at: f64,
+    pub(crate) order: u64,
+    pub(crate) keeping: u64,
+    /// Offers that wait for that.
+    pub(crate) waiting: Vec<gaugestep_config::rollout::Action>,
+    pub(crate) names: Names,
+    pub(crate) lines: BTreeMap<u64, Line>,
+    pub(crate) next_stream: u64,
+    pub(crate) calls: usize,
 }
 
 /// A service that runs.
 pub struct Service {
-    inner: Mutex<Inner>,
-    jobs: Mutex<Sender<Job>>,
-    lineage: u64,
+    pub(crate) inner: Mutex<Inner>,
+    pub(crate) group: Arc<Group>,
+    pub(crate) doubt: Mutex<Doubt>,
+    pub(crate) keep: usize,
+    pub(crate) restored: bool,
     streams: usize,
     keys: Option<(ServerKeys, ServerKeys)>,
-    started: Instant,
-}
-
-fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
-}
-
-fn error(why: impl Into<String>) -> Reply {
-    Reply { what: Some(reply::What::Error(why.into())) }
+    this: Weak<Service>,
 }
 
 impl Service {
     /// Opens the store and the listeners and begins to serve. An error is one plain line.
     pub fn start(settings: Settings, seed: u64) -> Result<Arc<Self>, String> {
-        let store = Store::open(&settings.store, settings.keep)?;
-        let lineage = store.lineage(seed.max(1))?;
-        let mut held = BTreeMap::new();
-        let mut known = Vec::new();
-        for stored in store.all()? {
-            let spoilt = |error: &dyn std::fmt::Display| format!("version {}: {error}", stored.number);
-            let entry = Entry::decode(stored.entry.as_slice()).map_err(|error| spoilt(&error))?;
-            let document = Document::decode(stored.document.as_slice()).map_err(|error| spoilt(&error))?;
-            let state = State::try_from(entry.state).map_err(|error| spoilt(&error))?;
-            known.push((stored.number, entry.plan.unwrap_or_default(), state, entry.rolls_back_to));
-            held.insert(stored.number, Held { entry, document: Arc::new(document) });
-        }
+        let (group, go) = Group::open(group::Settings {
+            member: settings.member.clone(),
+            joins: settings.joins,
+            store: settings.store.clone(),
+            restored: settings.restored,
+            keys: settings.keys.as_ref().map(|(files, _)| (files.clone(), settings.service_name.clone())),
+            seed,
+        })?;
         let keys = match settings.keys {
             None => None,
             Some((proxies, operators)) => Some((ServerKeys::serve(proxies)?, ServerKeys::serve(operators)?)),
         };
-        let (jobs, work) = channel();
-        let service = Arc::new(Service {
-            inner: Mutex::new(Inner {
-                rollout: Rollout::recover(known),
-                held,
-                lines: BTreeMap::new(),
-                next_stream: 0,
-                calls: 0,
-            }),
-            jobs: Mutex::new(jobs),
-            lineage,
+        let service = Arc::new_cyclic(|this| Service {
+            this: this.clone(),
+            inner: Mutex::default(),
+            group,
+            doubt: Mutex::new(Doubt::new(clock::now())),
+            keep: settings.keep,
+            restored: settings.restored,
             streams: settings.streams,
             keys,
-            started: Instant::now(),
         });
-        let keeping = service.clone();
-        std::thread::Builder::new()
-            .name("versions".into())
-            .spawn(move || keeping.keep(&store, &work))
-            .map_err(|error| format!("cannot start a thread: {error}"))?;
+        let cannot = |what: &'static str| move |error: io::Error| format!("cannot start {what}: {error}");
         for (address, proxies) in [(settings.listen, true), (settings.operators, false)] {
             let cannot = |error: io::Error| format!("cannot listen on {address}: {error}");
             let listener = TcpListener::bind(address).map_err(cannot)?;
             let serving = service.clone();
             task::spawn("listener", move || serving.accept(&listener, proxies)).map_err(cannot)?;
         }
+        let changing = service.clone();
+        go(Box::new(move |changes| changing.changed(changes)))?;
         let ticking = service.clone();
-        task::spawn("clocks", move || ticking.tick())
-            .map_err(|error| format!("cannot start a coroutine: {error}"))?;
-        Ok(service)
-    }
-
-    fn now(&self) -> f64 {
-        self.started.elapsed().as_secs_f64() * 1e3
-    }
-
-    fn tick(&self) {
-        loop {
-            task::sleep(LOOK);
-            self.tell(Event::Tick);
-            for line in lock(&self.inner).lines.values() {
-                line.waker.wakeup();
-            }
+        task::spawn("clocks", move || ticking.tick()).map_err(cannot("a coroutine"))?;
+        if service.keys.is_some() {
+            let looking = service.clone();
+            let look = move || {
+                loop {
+                    std::thread::sleep(KEYS_EVERY);
+                    if let Some((proxies, operators)) = &looking.keys {
+                        proxies.look();
+                        operators.look();
+                    }
+                }
+            };
+            std::thread::Builder::new().name("keys".into()).spawn(look).map_err(cannot("a thread"))?;
         }
+        Ok(service)
     }
 
-    /// Tells the rollout of something, and carries out what it wants done.
-    fn tell(&self, event: Event) {
-        let mut inner = lock(&self.inner);
-        let actions = inner.rollout.handle(self.now(), event);
-        self.carry_out(&mut inner, actions);
+    /// This service, for what ends later.
+    pub(crate) fn itself(&self) -> Weak<Service> {
+        self.this.clone()
     }
 
-    fn carry_out(&self, inner: &mut Inner, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Offer { proxy, stream, nonce, number, base } => {
-                    let Some(held) = inner.held.get(&number) else { continue };
-                    let offer = offer(held, inner.held.get(&base), nonce);
-                    let Some(line) = inner.lines.get_mut(&stream) else { continue };
-                    tracing::info!(proxy, version = number, nonce, base, "offered");
-                    line.out.push_back(FromService { said: Some(from_service::Said::Offer(offer)) });
-                    line.waker.wakeup();
-                }
-                Action::State { number, state, why } => {
-                    let Some(held) = inner.held.get_mut(&number) else { continue };
-                    tracing::info!(version = number, state = state.as_str_name(), why, "rollout");
-                    held.entry.state = state as i32;
-                    held.entry.halted_for = why;
-                    self.work(Job::Entry(Box::new(held.entry.clone())));
-                }
-                Action::RollBack { of, to, why } => {
-                    tracing::error!(version = of, to, why, "rolled back");
-                    let document = inner.held.get(&to).map(|held| held.document.clone()).unwrap_or_default();
-                    self.work(Job::Publish(Box::new(Publishing {
-                        document,
-                        author: "gaugestep-control".into(),
-                        note: format!("brings back version {to}, as version {of} was halted: {why}"),
-                        plan: Plan::default(),
-                        rolls_back_to: to,
-                        expected_newest: 0,
-                        tell: None,
-                    })));
-                }
-            }
-        }
-    }
-
-    fn work(&self, job: Job) {
-        // The thread that keeps versions lives as long as the process.
-        let _ = lock(&self.jobs).send(job);
+    /// Keys for operators' connections.
+    pub(crate) fn operators_keys(&self) -> Option<Arc<rustls::ServerConfig>> {
+        self.keys.as_ref().map(|(_, operators)| operators.now())
     }
 
-    /// The thread that keeps versions.
-    fn keep(&self, store: &Store, work: &Receiver<Job>) {
+    fn tick(&self) {
         loop {
-            match work.recv_timeout(KEYS_EVERY) {
-                Ok(Job::Publish(publishing)) => {
-                    let told = publishing.tell.clone();
-                    let reply = self.publish(store, *publishing).unwrap_or_else(error);
-                    if let Some(told) = told {
-                        let _ = told.send(reply);
-                    }
-                }
-                Ok(Job::Entry(entry)) => {
-                    let number = entry.version.as_ref().map_or(0, |version| version.number);
-                    if let Err(error) = store.set_entry(number, &entry.encode_to_vec()) {
-                        // The state is decided anew from the first step after a restart.
-                        tracing::error!(version = number, "its state could not be stored: {error}");
-                    }
+            task::sleep(LOOK);
+            let now = clock::now();
+            let mut inner = lock(&self.inner);
+            let known = inner.lines.values().any(|line| line.hello.is_some());
+            if lock(&self.doubt).tick(now, STOOD_STILL, known) {
+                // Whoever was connected may follow another by now: what it has seen is told by a hello.
+                tracing::warn!("stood still for longer than a lease: proxies are to come anew");
+                for line in inner.lines.values_mut().filter(|line| line.hello.is_some()) {
+                    line.end = Some("this service stood still");
                 }
-                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {}
-                Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
             }
-            if let Some((proxies, operators)) = &self.keys {
-                proxies.look();
-                operators.look();
+            self.look(&mut inner);
+            self.drive(&mut inner, Event::Tick);
+            self.promote(&mut inner, now);
+            for line in inner.lines.values() {
+                line.waker.wakeup();
             }
         }
     }
 
-    /// Stores a version, then has it rolled out.
-    fn publish(&self, store: &Store, publishing: Publishing) -> Result<Reply, String> {
-        let Publishing { document, author, note, plan, rolls_back_to, expected_newest, .. } = publishing;
-        if let Some(refusal) = check::check(&document).into_iter().next() {
-            return Err(refusal.to_string());
-        }
-        let (number, needed) = {
-            let inner = lock(&self.inner);
-            let newest = inner.rollout.newest();
-            if expected_newest > 0 && newest != expected_newest {
-                return Err(format!("version {newest} is the newest, not version {expected_newest}"));
-            }
-            let number = inner.rollout.next_number();
-            // What a rollback would bring back, and what proxies have in force, is kept however old.
-            let mut needed: Vec<u64> = inner.rollout.proxies().values().map(|proxy| proxy.in_force).collect();
-            needed.push(inner.rollout.complete_before(number));
-            (number, needed)
-        };
-        let version = version(number, &document);
-        let entry = Entry {
-            version: Some(version.clone()),
-            published_ms: unix_ms(),
-            author,
-            note,
-            rolls_back_to,
-            plan: Some(plan),
-            state: State::Rolling as i32,
-            halted_for: String::new(),
-        };
-        let stored = Stored { number, entry: entry.encode_to_vec(), document: document.encode_to_vec() };
-        let kept = store.publish(&stored, &needed)?;
-        tracing::info!(version = number, digest = short(&version.digest), rolls_back_to, "published");
-        let mut inner = lock(&self.inner);
-        inner.held.retain(|number, _| kept.contains(number));
-        inner.rollout.forget_below(kept.first().copied().unwrap_or(0));
-        inner.held.insert(number, Held { entry, document });
-        let actions = inner.rollout.handle(self.now(), Event::Published { number, plan, rolls_back_to });
-        self.carry_out(&mut inner, actions);
-        Ok(Reply { what: Some(reply::What::Published(Published { version: Some(version) })) })
-    }
-
     fn accept(self: &Arc<Self>, listener: &TcpListener, proxies: bool) {
         loop {
             let (stream, peer) = match listener.accept() {
@@ -358,7 +293,7 @@
         }
     }
 
-    /// A proxy's stream, until it ends.
+    /// A stream of a proxy or of another member, until it ends.
     fn stream(&self, stream: TcpStream) -> io::Result<()> {
         let keys = self.keys.as_ref().map(|(proxies, _)| proxies.now());
         let mut channel = Channel::accepted(stream, keys)?;
@@ -369,260 +304,188 @@
             }
             inner.next_stream += 1;
             let number = inner.next_stream;
-            inner.lines.insert(number, Line { out: VecDeque::new(), waker: channel.waker() });
+            inner.lines.insert(number, Line::new(channel.waker()));
             number
         };
-        let mut proxy = None;
-        let ended = self.talk(&mut channel, number, &mut proxy);
-        lock(&self.inner).lines.remove(&number);
-        if let Some(proxy) = proxy {
-            self.tell(Event::Left { proxy, stream: number });
+        let ended = self.talk(&mut channel, number);
+        let mut inner = lock(&self.inner);
+        let line = inner.lines.remove(&number);
+        if let Some((hello, _)) = line.and_then(|line| line.hello) {
+            let held = inner.names.holds(&hello.proxy, number);
+            inner.names.left(clock::now(), number);
+            if held {
+                self.drive(&mut inner, Event::Left { proxy: hello.proxy, stream: number });
+            }
         }
         ended
     }
 
-    fn talk(&self, channel: &mut Channel, stream: u64, proxy: &mut Option<String>) -> io::Result<()> {
+    fn talk(&self, channel: &mut Channel, stream: u64) -> io::Result<()> {
         let (began, mut heard) = (Instant::now(), Instant::now());
+        let mut proxy: Option<String> = None;
+        let mut peer: Option<Incoming> = None;
         loop {
             let closed = channel.pump()?;
             while let Some(message) = channel.take::<FromClient>()? {
                 heard = Instant::now();
-                let welcome = match (message.said, proxy.as_ref()) {
-                    (Some(from_client::Said::Hello(hello)), None) => {
-                        *proxy = Some(self.hello(channel, stream, hello)?);
-                        true
+                match (message.said, &proxy, &mut peer) {
+                    (Some(from_client::Said::Hello(hello)), None, None) => {
+                        proxy = Some(hello.proxy.clone());
+                        self.hello(channel, stream, hello)?;
+                    }
+                    (Some(from_client::Said::PeerHello(hello)), None, None) => {
+                        self.certified(channel, self.group.peer_name())?;
+                        let (welcome, incoming) = Incoming::hello(&self.group, &hello);
+                        channel
+                            .send(&FromService { said: Some(from_service::Said::PeerWelcome(welcome)) })?;
+                        peer = incoming;
+                        if peer.is_none() {
+                            channel.pump()?;
+                            return Ok(());
+                        }
                     }
-                    (Some(from_client::Said::Answer(answer)), Some(proxy)) => {
-                        let (proxy, nonce, refusal) = (proxy.clone(), answer.nonce, answer.refusal);
-                        match &refusal {
-                            None => tracing::info!(proxy, version = answer.number, nonce, "in force"),
-                            Some(refusal) => {
-                                let (code, path) = (&refusal.code, &refusal.path);
-                                tracing::warn!(
-                                    proxy,
-                                    version = answer.number,
-                                    nonce,
-                                    code,
-                                    path,
-                                    "refused: {}",
-                                    refusal.reason
-                                );
-                            }
+                    (Some(from_client::Said::Peer(said)), None, Some(peer)) => {
+                        if let Some(welcome) = peer.take(&self.group, said)? {
+                            channel.send(&FromService {
+                                said: Some(from_service::Said::PeerWelcome(welcome)),
+                            })?;
                         }
-                        self.tell(Event::Answered { proxy, stream, nonce, refusal });
-                        false
                     }
-                    (Some(from_client::Said::Figures(told)), Some(proxy)) => {
+                    (Some(from_client::Said::Answer(answer)), Some(proxy), None) => {
+                        self.answered(proxy, stream, answer);
+                    }
+                    (Some(from_client::Said::Figures(told)), Some(proxy), None) => {
                         let unserved = told.declined.saturating_add(told.aborted);
                         let (proxy, served, number) = (proxy.clone(), told.succeeded, told.number);
-                        self.tell(Event::Figures { proxy, stream, served, unserved, number });
-                        true
+                        let mut inner = lock(&self.inner);
+                        if inner.names.holds(&proxy, stream) {
+                            self.drive(
+                                &mut inner,
+                                Event::Figures { proxy, stream, served, unserved, number },
+                            );
+                        }
+                        let welcome = self.welcome(&inner, stream);
+                        drop(inner);
+                        channel.send(&FromService { said: Some(from_service::Said::Welcome(welcome)) })?;
                     }
-                    (None, Some(_)) => false,
+                    (None, Some(_), None) => {}
                     _ => return Err(io::Error::other("a message that is not due")),
-                };
-                if welcome {
-                    let welcome = Welcome { protocol: PROTOCOL, lineage: self.lineage };
-                    channel.send(&FromService { said: Some(from_service::Said::Welcome(welcome)) })?;
                 }
             }
             if closed {
                 return Ok(());
             }
-            let late = match proxy {
-                None => began.elapsed() >= HELLO_WITHIN,
-                Some(_) => heard.elapsed() >= SILENCE,
+            let late = match (&proxy, &peer) {
+                (None, None) => began.elapsed() >= HELLO_WITHIN,
+                _ => heard.elapsed() >= SILENCE,
             };
             if late {
                 return Err(io::Error::new(io::ErrorKind::TimedOut, "the peer is silent"));
             }
-            let due = match lock(&self.inner).lines.get_mut(&stream) {
-                Some(line) => std::mem::take(&mut line.out),
-                None => VecDeque::new(),
+            let (due, end) = match lock(&self.inner).lines.get_mut(&stream) {
+                Some(line) => (std::mem::take(&mut line.out), line.end),
+                None => (VecDeque::new(), None),
             };
             for message in due {
                 channel.send(&message)?;
             }
             channel.pump()?;
+            if let Some(why) = end {
+                return Err(io::Error::other(why));
+            }
             channel.wait();
         }
     }
 
-    fn hello(&self, channel: &Channel, stream: u64, hello: Hello) -> io::Result<String> {
+    /// Guards each place against whoever holds another's key.
+    fn certified(&self, channel: &Channel, name: Option<&str>) -> io::Result<()> {
+        let Some(certificate) = channel.peer() else { return Ok(()) };
+        match name.is_some_and(|name| keys::carries(certificate, name)) {
+            true => Ok(()),
+            false => {
+                let name = name.unwrap_or_default();
+                Err(io::Error::other(format!("its certificate does not carry the name '{name}'")))
+            }
+        }
+    }
+
+    fn hello(&self, channel: &mut Channel, stream: u64, mut hello: Hello) -> io::Result<()> {
         let named = !hello.proxy.is_empty() && hello.proxy.len() <= NAME && hello.build.len() <= NAME;
-        if hello.protocol != PROTOCOL || !named {
+        if hello.protocol != PROTOCOL || !named || hello.seen.len() > gaugestep_duty::charter::DUTIES {
             return Err(io::Error::other("a hello that this build does not understand"));
         }
-        // Guards each proxy's place against whoever holds another proxy's key.
-        if channel.peer().is_some_and(|certificate| !keys::carries(certificate, &hello.proxy)) {
-            return Err(io::Error::other(format!(
-                "its certificate does not carry the name '{}'",
-                hello.proxy
-            )));
+        self.certified(channel, Some(&hello.proxy))?;
+        if hello.incarnation == 0 {
+            // A build that does not name its processes: each of its streams is one of its own.
+            hello.incarnation = stream;
         }
-        let number = hello.in_force.as_ref().map_or(0, |version| version.number);
-        let known =
-            lock(&self.inner).held.get(&number).is_some_and(|held| held.entry.version == hello.in_force);
-        tracing::info!(proxy = hello.proxy, version = number, known, build = hello.build, "a proxy is here");
-        let (proxy, in_force, build) = (hello.proxy.clone(), hello.in_force, hello.build);
-        self.tell(Event::Hello { proxy, stream, in_force, known, build });
-        Ok(hello.proxy)
-    }
-
-    /// An operator's connection: one call, one reply.
-    fn operator(&self, stream: TcpStream) -> io::Result<()> {
-        let keys = self.keys.as_ref().map(|(_, operators)| operators.now());
-        let mut channel = Channel::accepted(stream, keys)?;
-        let line = {
-            let mut inner = lock(&self.inner);
-            if inner.calls >= CALLS {
-                return Err(io::Error::other("too many calls are open"));
-            }
-            inner.calls += 1;
-            inner.next_stream += 1;
-            let number = inner.next_stream;
-            // So that its clock is looked at.
-            inner.lines.insert(number, Line { out: VecDeque::new(), waker: channel.waker() });
-            number
-        };
-        let ended = self.answer(&mut channel);
+        let now = clock::now();
         let mut inner = lock(&self.inner);
-        inner.calls -= 1;
-        inner.lines.remove(&line);
-        ended
-    }
-
-    fn answer(&self, channel: &mut Channel) -> io::Result<()> {
-        let began = Instant::now();
-        let mut answered = false;
-        loop {
-            let closed = channel.pump()?;
-            if !answered {
-                if let Some(message) = channel.take::<FromClient>()? {
-                    let Some(from_client::Said::Call(call)) = message.said else {
-                        return Err(io::Error::other("no call"));
-                    };
-                    let reply = self.call(call);
-                    channel.send(&FromService { said: Some(from_service::Said::Reply(reply)) })?;
-                    channel.pump()?;
-                    answered = true;
-                }
-            }
-            if closed {
-                return Ok(());
-            }
-            if began.elapsed() >= SILENCE {
-                return Err(io::Error::new(io::ErrorKind::TimedOut, "the call took too long"));
-            }
-            channel.wait();
+        let given = inner.names.hello(now, &hello.proxy, hello.incarnation, hello.name_term, stream);
+        let version = hello.in_force.as_ref().map_or(0, |version| version.number);
+        let (proxy, incarnation) = (hello.proxy.clone(), hello.incarnation);
+        tracing::info!(
+            proxy,
+            version,
+            incarnation,
+            seen = seen(&hello),
+            build = hello.build,
+            "a proxy is here"
+        );
+        if let Some(line) = inner.lines.get_mut(&stream) {
+            line.hello = Some((hello, now));
         }
-    }
-
-    /// Carries out a call; the coroutine waits while the thread that keeps versions stores.
-    fn call(&self, call: Call) -> Reply {
-        let publishing = match call.what {
-            Some(call::What::Publish(publish)) => Publishing {
-                document: Arc::new(publish.document.unwrap_or_default()),
-                author: publish.author,
-                note: publish.note,
-                plan: publish.plan.unwrap_or_default(),
-                rolls_back_to: 0,
-                expected_newest: publish.expected_newest,
-                tell: None,
-            },
-            Some(call::What::Rollback(back)) => {
-                let document = lock(&self.inner).held.get(&back.to).map(|held| held.document.clone());
-                let Some(document) = document else {
-                    return error(format!("there is no version {}", back.to));
-                };
-                Publishing {
-                    document,
-                    author: back.author,
-                    note: back.note,
-                    plan: Plan::default(),
-                    rolls_back_to: back.to,
-                    expected_newest: 0,
-                    tell: None,
+        let welcome = self.welcome(&inner, stream);
+        channel.send(&FromService { said: Some(from_service::Said::Welcome(welcome)) })?;
+        match given {
+            Given::Yours { term, displaced } => {
+                if let Some(line) = displaced.and_then(|old| inner.lines.get_mut(&old)) {
+                    tracing::warn!(
+                        proxy,
+                        name_term = term,
+                        by = incarnation,
+                        "a proxy's name has a new owner"
+                    );
+                    line.say(from_service::Said::Displaced(Displaced { name_term: term, by: incarnation }));
                 }
+                self.present(&mut inner, stream);
             }
-            Some(call::What::List(list)) => return self.list(list.most as usize),
-            Some(call::What::Show(show)) => {
-                let number = if show.number == 0 { lock(&self.inner).rollout.newest() } else { show.number };
-                return self.show(number);
+            Given::Displaced { term, by } => {
+                tracing::warn!(proxy, name_term = term, by, incarnation, "a proxy's name is another's");
+                let displaced = Displaced { name_term: term, by };
+                channel.send(&FromService { said: Some(from_service::Said::Displaced(displaced)) })?;
             }
-            Some(call::What::Status(_)) => return self.status(),
-            None => return error("a call that this build does not know"),
-        };
-        if publishing.author.len() > NAME || publishing.note.len() > WORDS {
-            return error("author or note is too long");
         }
-        if let Some(why) = bad_plan(&publishing.plan) {
-            return error(why);
-        }
-        let (tell, told) = may::sync::mpsc::channel();
-        self.work(Job::Publish(Box::new(Publishing { tell: Some(tell), ..publishing })));
-        told.recv().unwrap_or_else(|_| error("the service is ending"))
-    }
-
-    fn list(&self, most: usize) -> Reply {
-        let inner = lock(&self.inner);
-        let most = if most == 0 { usize::MAX } else { most };
-        let entries = inner.held.values().rev().take(most).map(|held| held.entry.clone()).collect();
-        Reply { what: Some(reply::What::Versions(Versions { entries })) }
-    }
-
-    fn show(&self, number: u64) -> Reply {
-        let inner = lock(&self.inner);
-        let Some(held) = inner.held.get(&number) else {
-            return error(format!("there is no version {number}"));
-        };
-        let (entry, document) = (Some(held.entry.clone()), Some((*held.document).clone()));
-        Reply { what: Some(reply::What::Shown(Shown { entry, document })) }
+        Ok(())
     }
 
-    fn status(&self) -> Reply {
-        let inner = lock(&self.inner);
-        let now = self.now();
-        let proxy = |(name, proxy): (&String, &gaugestep_config::rollout::Proxy)| Proxy {
-            name: name.clone(),
-            connected: proxy.stream.is_some(),
-            build: proxy.build.clone(),
-            in_force: proxy.in_force,
-            offered: proxy.offered.map_or(0, |(_, number, _)| number),
-            refusal: proxy.refused.as_ref().map(|(_, refusal)| refusal.clone()),
-            refused: proxy.refused.as_ref().map_or(0, |(number, _)| *number),
-            heard_ms: (now - proxy.heard).max(0.0) as u64,
-            ahead: proxy.ahead,
+    /// What a proxy is told of who it speaks to.
+    pub(crate) fn welcome(&self, inner: &Inner, stream: u64) -> Welcome {
+        let own = self.group.own().number;
+        let (owner, term) = self.group.charter(|charter| charter.owner(VERSIONS));
+        let owner = match inner.acting {
+            Some(term) => Some((own, term)),
+            // Its lease has lapsed, as far as it knows.
+            None if owner == own => None,
+            None => Some((owner, term)),
         };
-        let proxies = inner.rollout.proxies().iter().map(proxy).collect();
-        Reply { what: Some(reply::What::Fleet(Fleet { newest: inner.rollout.newest(), proxies })) }
-    }
-}
-
-/// What is wrong with a plan.
-fn bad_plan(plan: &Plan) -> Option<&'static str> {
-    if !(0.0..=1.0).contains(&plan.share) {
-        return Some("the plan's share must lie between 0 and 1");
-    }
-    if !(0.0..=1.0).contains(&plan.worse_by) {
-        return Some("the plan's worsening must lie between 0 and 1");
+        let owner = owner.and_then(|(owner, term)| self.owner(owner, term));
+        let proxy = inner.lines.get(&stream).and_then(|line| line.hello.as_ref());
+        let name_term = proxy.filter(|(hello, _)| inner.names.holds(&hello.proxy, stream));
+        let name_term = name_term.and_then(|(hello, _)| inner.names.holder(&hello.proxy));
+        Welcome {
+            protocol: PROTOCOL,
+            lineage: self.group.lineage(),
+            owner,
+            name_term: name_term.map_or(0, |(_, term)| term),
+            member: own,
+        }
     }
-    (plan.refusals == Some(0)).then_some("the plan must allow for one refusal at least before it halts")
-}
 
-/// An offer of a version: as changes to what the proxy has in force, where that is shorter.
-fn offer(held: &Held, base: Option<&Held>, nonce: u64) -> Offer {
-    let number = |held: &Held| held.entry.version.as_ref().map_or(0, |version| version.number);
-    let changes = base.map(|base| delta::between(number(base), &base.document, &held.document));
-    let changes = changes.filter(|changes| changes.encoded_len() < held.document.encoded_len());
-    let content = match changes {
-        Some(changes) => Content::Delta(changes),
-        None => Content::Snapshot((*held.document).clone()),
-    };
-    Offer {
-        version: held.entry.version.clone(),
-        nonce,
-        content: Some(content),
-        rolls_back_to: held.entry.rolls_back_to,
+    /// Where the owner of the versions is reached.
+    pub(crate) fn owner(&self, member: u64, term: u64) -> Option<schema::Owner> {
+        let known = self.group.member(member)?;
+        let (listen, operators) = (known.listen, known.operators);
+        Some(schema::Owner { duty: VERSIONS.into(), member, term, listen, operators })
     }
 }
--- a/crates/duty/src/charter.rs
+++ b/crates/duty/src/charter.rs
@@ -7,7 +7,7 @@
 
 use gaugestep_config::schema::act::What;
 use gaugestep_config::schema::entry::State;
-use gaugestep_config::schema::{self, Act, Duty, Entry, Member, NewState, NewVersion};
+use gaugestep_config::schema::{self, Act, Duty, Entry, Keep, Member, NewState, NewVersion};
 use gaugestep_config::{Document, Version, check, version};
 
 use crate::VERSIONS;
@@ -175,7 +175,7 @@
                 match what {
                     What::Version(new) => self.publish(new, changes),
                     What::State(new) => self.state(new, changes),
-                    What::Keep(state) => self.keep(&act.duty, state, changes),
+                    What::Keep(keep) => self.keep(&act.duty, keep, changes),
                     What::HandOver(to) => self.give(&act.duty, *to, present, changes),
                     What::Raise(above) if above.saturating_sub(present) > RAISED_BY => {
                         refused("the term to go above is further off than any owner can have come")
@@ -232,7 +232,12 @@
             self.removed.insert(member);
             changes.push(Change::Members);
         }
-        let owned: Vec<(String, u64)> = self.duties.values().filter(|duty| duty.owner == member).map(|duty| (duty.name.clone(), duty.term)).collect();
+        let owned: Vec<(String, u64)> = self
+            .duties
+            .values()
+            .filter(|duty| duty.owner == member)
+            .map(|duty| (duty.name.clone(), duty.term))
+            .collect();
         for (duty, term) in owned {
             let _ = self.give(&duty, 0, term, &mut changes);
         }
@@ -251,7 +256,13 @@
     }
 
     /// Gives a duty to an owner under the term behind `below`.
-    fn give(&mut self, name: &str, to: u64, below: u64, changes: &mut Vec<Change>) -> Result<Outcome, Outcome> {
+    fn give(
+        &mut self,
+        name: &str,
+        to: u64,
+        below: u64,
+        changes: &mut Vec<Change>,
+    ) -> Result<Outcome, Outcome> {
         let member = to == 0 || self.members.contains_key(&to);
         let Some(duty) = self.duties.get_mut(name) else {
             return Err(Outcome::Refused(format!("there is no duty '{name}'")));
@@ -263,17 +274,19 @@
         let Some(term) = below.checked_add(1).filter(|term| *term < u64::MAX) else {
             return Err(Outcome::Refused(format!("the terms of '{name}' are used up")));
         };
-        (duty.owner, duty.term, duty.changes) = (to, term, duty.changes.saturating_add(1));
+        (duty.owner, duty.term, duty.order) = (to, term, 0);
+        duty.changes = duty.changes.saturating_add(1);
         changes.push(Change::Owner(name.into()));
         Ok(Outcome::Done)
     }
 
-    fn keep(&mut self, name: &str, state: &[u8], changes: &mut Vec<Change>) -> Result<Outcome, Outcome> {
-        if state.len() > STATE {
-            return Err(Outcome::Refused(format!("{} bytes are too many to keep for the next owner", state.len())));
+    fn keep(&mut self, name: &str, keep: &Keep, changes: &mut Vec<Change>) -> Result<Outcome, Outcome> {
+        if keep.state.len() > STATE {
+            let bytes = keep.state.len();
+            return Err(Outcome::Refused(format!("{bytes} bytes are too many to keep for the next owner")));
         }
-        if let Some(duty) = self.duties.get_mut(name) {
-            duty.state = state.to_vec();
+        if let Some(duty) = self.duties.get_mut(name).filter(|duty| keep.order > duty.order) {
+            (duty.state, duty.order) = (keep.state.clone(), keep.order);
             changes.push(Change::Duty(name.into()));
         }
         Ok(Outcome::Done)
--- a/crates/duty/src/lease.rs
+++ b/crates/duty/src/lease.rs
@@ -282,15 +282,13 @@
         }
         assert_eq!(assigns(&grantor.tick(timing.patience() - 1.0, &owned, &members)), 0);
         let given = grantor.tick(timing.patience(), &owned, &members);
-        assert!(
-            matches!(&given[..], [Action::Assign { duty, term: 1, .. }] if duty == "d0"),
-            "{given:?}"
-        );
+        assert!(matches!(&given[..], [Action::Assign { duty, term: 1, .. }] if duty == "d0"), "{given:?}");
         assert_eq!(assigns(&grantor.tick(timing.patience() + 1.0, &owned, &members)), 0, "wished already");
     }
 
     #[test]
-    fn a_member_that_comes_is_given_its_part_by_those_that_have_more_and_one_without_a_majority_grants_nothing() {
+    fn a_member_that_comes_is_given_its_part_by_those_that_have_more_and_one_without_a_majority_grants_nothing()
+     {
         let (mut grantor, members) = (Grantor::new(Timing::default()), BTreeSet::from([1, 2]));
         grantor.leads(0.0, true);
         grantor.asked(1.0, 1, 1);
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -11,10 +11,12 @@
 //! count the time for which the process or the machine was suspended.
 
 pub mod charter;
+pub mod doubt;
 pub mod lease;
 pub mod names;
 pub mod receiver;
 pub mod seal;
+pub mod seek;
 pub mod spread;
 
 /// The duty of publishing versions and driving their rollouts.
--- a/crates/duty/src/names.rs
+++ b/crates/duty/src/names.rs
@@ -47,6 +47,7 @@
 impl Names {
     /// A process opens a stream under a name. `term` is the one under which it was given the name; 0: it never was.
     pub fn hello(&mut self, now: f64, name: &str, incarnation: u64, term: u64, stream: u64) -> Given {
+        self.displaced.remove(&stream);
         let Some(held) = self.held.get_mut(name) else {
             // Another service gave the name: its terms go on.
             let term = term.saturating_add(u64::from(term == 0));
@@ -133,7 +134,11 @@
         let mut names = Names::default();
         assert_eq!(names.hello(0.0, "n0", 7, 4, 1), Given::Yours { term: 4, displaced: None });
         assert_eq!(names.hello(0.0, "n0", 8, 5, 2), Given::Yours { term: 6, displaced: Some(1) });
-        assert_eq!(names.hello(0.0, "n0", 8, 6, 3), Given::Yours { term: 6, displaced: None }, "a stream anew");
+        assert_eq!(
+            names.hello(0.0, "n0", 8, 6, 3),
+            Given::Yours { term: 6, displaced: None },
+            "a stream anew"
+        );
         let edge = names.hello(0.0, "n1", 1, u64::MAX, 4);
         assert_eq!(edge, Given::Yours { term: u64::MAX, displaced: None });
         assert_eq!(names.hello(0.0, "n1", 2, 0, 5), Given::Yours { term: u64::MAX, displaced: Some(4) });
--- a/crates/store/src/versions.rs
+++ b/crates/store/src/versions.rs
@@ -1,4 +1,5 @@
-//! All versions of a service, by number, in an embedded database (redb): each change is one transaction.
+//! What a control service keeps, in an embedded database (redb): versions by number, the log on which a group agrees, and
+//! values by name. Each change is one transaction.
 
 use std::path::Path;
 
@@ -10,6 +11,9 @@
 /// Values by name.
 const VALUES: TableDefinition<&str, u64> = TableDefinition::new("values");
 const LINEAGE: &str = "lineage";
+/// The log by index, and further values.
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const KEPT: TableDefinition<&str, &[u8]> = TableDefinition::new("kept");
 
 /// Why the store failed, in words.
 pub type Error = String;
@@ -21,7 +25,27 @@
 /// The versions of one service. Only one process at a time may hold them.
 pub struct Versions {
     database: Database,
-    most: usize,
+}
+
+/// What is written together.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// Entries of the log from this index on are no more; before `log` is written.
+    pub log_from: Option<u64>,
+    /// Entries of the log below this index are no more.
+    pub log_below: Option<u64>,
+    /// Entries of the log.
+    pub log: Vec<(u64, Vec<u8>)>,
+    /// Values by name.
+    pub values: Vec<(&'static str, Vec<u8>)>,
+    /// Versions that are not kept any more; before `documents` and `entries` are written.
+    pub dropped: Vec<u64>,
+    /// Documents by the version's number.
+    pub documents: Vec<(u64, Vec<u8>)>,
+    /// What else is known of versions.
+    pub entries: Vec<(u64, Vec<u8>)>,
+    /// It is on the disk when the call returns. Without it, a kill may lose it; nothing that was synced is lost.
+    pub sync: bool,
 }
 
 /// One version as it is kept.
@@ -36,15 +60,17 @@
 }
 
 impl Versions {
-    /// The versions in this file, which is made if it is not there; `most` of them are kept at least.
-    pub fn open(path: &Path, most: usize) -> Result<Self, Error> {
+    /// What is kept in this file, which is made if it is not there.
+    pub fn open(path: &Path) -> Result<Self, Error> {
         let database = Database::create(path).map_err(|error| format!("{}: {error}", path.display()))?;
         let writing = database.begin_write().map_err(told)?;
         writing.open_table(DOCUMENTS).map_err(told)?;
         writing.open_table(ENTRIES).map_err(told)?;
         writing.open_table(VALUES).map_err(told)?;
+        writing.open_table(LOG).map_err(told)?;
+        writing.open_table(KEPT).map_err(told)?;
         writing.commit().map_err(told)?;
-        Ok(Versions { database, most: most.max(1) })
+        Ok(Versions { database })
     }
 
     /// The number that tells this store from others: `fresh` where it has none yet.
@@ -65,51 +91,62 @@
         Ok(lineage)
     }
 
-    /// Keeps a new version. Versions that are older than those to be kept, and that `needed` does not name, are let go
-    /// in the same transaction: the store does not grow without bound. The numbers that are kept, in order.
-    pub fn publish(&self, version: &Stored, needed: &[u64]) -> Result<Vec<u64>, Error> {
-        let writing = self.database.begin_write().map_err(told)?;
-        let kept = {
+    /// Writes all of a batch, or nothing.
+    pub fn write(&self, batch: &Batch) -> Result<(), Error> {
+        let mut writing = self.database.begin_write().map_err(told)?;
+        if !batch.sync {
+            writing.set_durability(redb::Durability::None);
+        }
+        {
             let mut documents = writing.open_table(DOCUMENTS).map_err(told)?;
             let mut entries = writing.open_table(ENTRIES).map_err(told)?;
-            if let Some((newest, _)) = documents.last().map_err(told)? {
-                if newest.value() >= version.number {
-                    return Err(format!("version {} is there already", newest.value()));
-                }
-            }
-            documents.insert(version.number, version.document.as_slice()).map_err(told)?;
-            entries.insert(version.number, version.entry.as_slice()).map_err(told)?;
-            let mut numbers = Vec::new();
-            for item in documents.iter().map_err(told)? {
-                numbers.push(item.map_err(told)?.0.value());
-            }
-            let newest = numbers.split_off(numbers.len().saturating_sub(self.most));
-            let (mut kept, gone): (Vec<u64>, Vec<u64>) =
-                numbers.into_iter().partition(|number| needed.contains(number));
-            for number in gone {
+            for number in &batch.dropped {
                 documents.remove(number).map_err(told)?;
                 entries.remove(number).map_err(told)?;
             }
-            kept.extend(newest);
-            kept
-        };
-        writing.commit().map_err(told)?;
-        Ok(kept)
-    }
-
-    /// Keeps what has become known of a version.
-    pub fn set_entry(&self, number: u64, entry: &[u8]) -> Result<(), Error> {
-        let writing = self.database.begin_write().map_err(told)?;
-        {
-            let mut entries = writing.open_table(ENTRIES).map_err(told)?;
-            if entries.get(number).map_err(told)?.is_none() {
-                return Err(format!("there is no version {number}"));
+            for (number, document) in &batch.documents {
+                documents.insert(number, document.as_slice()).map_err(told)?;
+            }
+            for (number, entry) in &batch.entries {
+                entries.insert(number, entry.as_slice()).map_err(told)?;
+            }
+            let mut log = writing.open_table(LOG).map_err(told)?;
+            if let Some(from) = batch.log_from {
+                log.retain_in(from.., |_, _| false).map_err(told)?;
+            }
+            if let Some(below) = batch.log_below {
+                log.retain_in(..below, |_, _| false).map_err(told)?;
+            }
+            for (index, entry) in &batch.log {
+                log.insert(index, entry.as_slice()).map_err(told)?;
+            }
+            let mut kept = writing.open_table(KEPT).map_err(told)?;
+            for (name, value) in &batch.values {
+                kept.insert(*name, value.as_slice()).map_err(told)?;
             }
-            entries.insert(number, entry).map_err(told)?;
         }
         writing.commit().map_err(told)
     }
 
+    /// A value by name.
+    pub fn value(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
+        let reading = self.database.begin_read().map_err(told)?;
+        let kept = reading.open_table(KEPT).map_err(told)?;
+        Ok(kept.get(name).map_err(told)?.map(|value| value.value().to_vec()))
+    }
+
+    /// The log, in the order of its indices.
+    pub fn log(&self) -> Result<Vec<(u64, Vec<u8>)>, Error> {
+        let reading = self.database.begin_read().map_err(told)?;
+        let log = reading.open_table(LOG).map_err(told)?;
+        let mut all = Vec::new();
+        for item in log.iter().map_err(told)? {
+            let (index, entry) = item.map_err(told)?;
+            all.push((index.value(), entry.value().to_vec()));
+        }
+        Ok(all)
+    }
+
     /// All versions that are kept, in the order of their numbers.
     pub fn all(&self) -> Result<Vec<Stored>, Error> {
         let reading = self.database.begin_read().map_err(told)?;
--- a/crates/store/tests/durable.rs
+++ b/crates/store/tests/durable.rs
@@ -4,8 +4,9 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
+use gaugestep_store::seal;
 use gaugestep_store::slots::{Slots, peek};
-use gaugestep_store::versions::{Stored, Versions};
+use gaugestep_store::versions::{Batch, Versions};
 use proptest::prelude::*;
 
 const MOST: usize = 1 << 20;
@@ -102,13 +103,21 @@
             tell(folder, next);
         }
     }
-    let versions = Versions::open(&folder.join("versions"), 8).unwrap();
+    let versions = Versions::open(&folder.join("versions")).unwrap();
     let last = versions.all().unwrap().last().map_or(0, |version| version.number);
     tell(folder, last);
     for next in last + 1.. {
-        let stored = Stored { number: next, entry: vec![0], document: value(next) };
-        versions.publish(&stored, &[1]).unwrap();
-        versions.set_entry(next, &[1]).unwrap();
+        let batch = Batch {
+            log_below: Some(next.saturating_sub(3)),
+            log: vec![(next, value(next))],
+            values: vec![("applied", next.to_be_bytes().to_vec())],
+            dropped: next.checked_sub(8).filter(|old| *old > 1).into_iter().collect(),
+            documents: vec![(next, value(next))],
+            entries: vec![(next, vec![1])],
+            sync: true,
+            ..Batch::default()
+        };
+        versions.write(&batch).unwrap();
         tell(folder, next);
     }
 }
@@ -149,7 +158,7 @@
 #[test]
 fn a_service_killed_at_any_instant_finds_what_it_published_and_no_more_than_it_keeps() {
     killed("versions", |folder, told| {
-        let Ok(versions) = Versions::open(&folder.join("versions"), 8) else {
+        let Ok(versions) = Versions::open(&folder.join("versions")) else {
             assert_eq!(told, 0, "killed before the file was made");
             return;
         };
@@ -158,26 +167,44 @@
         assert!((told..=told + 1).contains(&newest), "{newest} found, {told} told");
         assert!(all.len() <= 9, "{} kept", all.len());
         assert!(newest < 1 || all[0].number == 1, "version 1 is needed");
+        let (log, applied) = (versions.log().unwrap(), versions.value("applied").unwrap());
+        assert_eq!(log.last().map_or(0, |(index, _)| *index), newest, "log and versions are of one moment");
+        assert!(newest < 1 || applied == Some(newest.to_be_bytes().to_vec()));
     });
 }
 
 #[test]
-fn numbers_only_rise_and_the_lineage_stays() {
+fn a_log_is_cut_at_both_ends_and_the_lineage_stays() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("versions");
-    let stored = |number| Stored { number, entry: vec![7], document: vec![number as u8] };
+    let entries =
+        |range: std::ops::Range<u64>| range.map(|index| (index, vec![index as u8])).collect::<Vec<_>>();
     {
-        let versions = Versions::open(&path, 3).unwrap();
+        let versions = Versions::open(&path).unwrap();
         assert_eq!(versions.lineage(42).unwrap(), 42);
-        versions.publish(&stored(5), &[]).unwrap();
-        assert!(versions.publish(&stored(5), &[]).is_err());
-        assert!(versions.publish(&stored(4), &[]).is_err());
-        assert!(versions.set_entry(6, &[1]).is_err());
-        versions.publish(&stored(9), &[]).unwrap();
+        versions.write(&Batch { log: entries(1..9), sync: true, ..Batch::default() }).unwrap();
+        let cut =
+            Batch { log_from: Some(5), log_below: Some(3), log: vec![(5, vec![0])], ..Batch::default() };
+        versions.write(&Batch { sync: true, ..cut }).unwrap();
     }
-    let versions = Versions::open(&path, 3).unwrap();
+    let versions = Versions::open(&path).unwrap();
     assert_eq!(versions.lineage(43).unwrap(), 42);
-    assert_eq!(versions.all().unwrap(), [stored(5), stored(9)]);
+    assert_eq!(versions.log().unwrap(), [entries(3..5), vec![(5, vec![0])]].concat());
+}
+
+#[test]
+fn a_seal_names_the_file_and_a_copy_is_another() {
+    let folder = tempfile::tempdir().unwrap();
+    let (store, copy) = (folder.path().join("store"), folder.path().join("copy"));
+    std::fs::write(&store, "x").unwrap();
+    assert_eq!(seal::read(&store).unwrap(), None);
+    let file = seal::file(&store).unwrap();
+    seal::write(&store, 7, file).unwrap();
+    assert_eq!(seal::read(&store).unwrap(), Some((7, file)));
+    std::fs::copy(&store, &copy).unwrap();
+    assert_ne!(seal::file(&copy).unwrap(), file);
+    std::fs::write(folder.path().join("store.seal"), "7").unwrap();
+    assert!(seal::read(&store).is_err(), "cut off");
 }
 
 proptest! {
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -106,6 +106,7 @@
 fn call(server: &Arc<Server>, method: &str, path: &str) -> Result<String, Status> {
     match (method, path) {
         ("GET", "/ops/readiness") if server.ready() => Ok(server.standing()),
+        ("GET", "/ops/readiness") if server.displaced() => Err((503, "Displaced")),
         ("GET", "/ops/readiness") => Err((503, "Service Unavailable")),
         ("GET", "/ops/stats") => Ok(server.figures().to_string()),
         ("PUT", "/ops/drain/start") => {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -182,9 +182,14 @@
         }
     }
 
+    /// Whether another process has taken the proxy's name: this one serves on, and gets no versions any more.
+    pub fn displaced(&self) -> bool {
+        self.follower.get().is_some_and(|follower| follower.displaced())
+    }
+
     /// Whether new clients may come.
     pub fn ready(&self) -> bool {
-        !self.draining() && !self.stopping.load(Ordering::Relaxed)
+        !self.displaced() && !self.draining() && !self.stopping.load(Ordering::Relaxed)
     }
 
     fn draining(&self) -> bool {
--- a/tests/common/control.rs
+++ b/tests/common/control.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use gaugestep_config::schema::offer::Content;
-use gaugestep_config::schema::{FromClient, FromService, Hello, Offer, Welcome, from_client, from_service};
+use gaugestep_config::schema::{
+    FromClient, FromService, Hello, Offer, Owner, Welcome, from_client, from_service,
+};
 use gaugestep_config::{Document, text, version};
 use prost::Message as _;
 use serde_json::Value;
@@ -26,6 +28,13 @@
     }
 }
 
+/// Runs a command to its end: its exit code, what it printed, and what it said was wrong.
+pub fn told(command: &mut Command) -> (i32, String, String) {
+    let done = command.output().unwrap();
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (done.status.code().unwrap_or(-1), text(&done.stdout), text(&done.stderr))
+}
+
 /// A control service as a process, with its files in a folder of its own.
 pub struct Control {
     child: Child,
@@ -45,13 +54,13 @@
     /// Starts one with more in its file, and with more arguments for commands that call it.
     pub fn keyed(folder: tempfile::TempDir, extra: String, client: Vec<String>) -> Self {
         let (listen, operators) = (free_address(), free_address());
-        let child = Self::spawn(folder.path(), listen, operators, &extra);
+        let child = Self::command(folder.path(), listen, operators, &extra).spawn().unwrap();
         let control = Control { child, listen, operators, folder, extra, client };
         control.wait_until_ready();
         control
     }
 
-    fn spawn(folder: &Path, listen: SocketAddr, operators: SocketAddr, extra: &str) -> Child {
+    fn command(folder: &Path, listen: SocketAddr, operators: SocketAddr, extra: &str) -> Command {
         let config = folder.join("control.textproto");
         let store = folder.join("versions.redb");
         let told = format!(
@@ -62,7 +71,8 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
         command.args(["--json", "serve", "--config"]).arg(&config);
         let log = std::fs::OpenOptions::new().append(true).create(true).open(folder.join("log")).unwrap();
-        command.stdout(Stdio::null()).stderr(log).spawn().unwrap()
+        command.stdout(Stdio::null()).stderr(log);
+        command
     }
 
     fn wait_until_ready(&self) {
@@ -89,17 +99,27 @@
 
     /// Starts it anew after its end.
     pub fn restart(&mut self) {
-        self.child = Self::spawn(self.folder.path(), self.listen, self.operators, &self.extra);
+        self.restart_with(&[]);
+    }
+
+    /// The same, with further arguments.
+    pub fn restart_with(&mut self, arguments: &[&str]) {
+        let mut command = Self::command(self.folder.path(), self.listen, self.operators, &self.extra);
+        self.child = command.args(arguments).spawn().unwrap();
         self.wait_until_ready();
     }
 
+    /// Starts it where it cannot start: its exit code, what it printed, and what it said was wrong.
+    pub fn run_to_end(&self) -> (i32, String, String) {
+        let mut command = Self::command(self.folder.path(), self.listen, self.operators, &self.extra);
+        told(command.stderr(Stdio::piped()).stdout(Stdio::piped()))
+    }
+
     /// A command that calls it: its exit code, what it printed, and what it said was wrong.
     pub fn run(&self, arguments: &[&str]) -> (i32, String, String) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
         command.env("GAUGESTEP_CONTROL", self.operators.to_string()).env("USER", "tester");
-        let done = command.args(arguments).args(self.client.iter()).output().unwrap();
-        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-        (done.status.code().unwrap_or(-1), text(&done.stdout), text(&done.stderr))
+        told(command.args(arguments).args(self.client.iter()))
     }
 
     /// The same, with its result as JSON.
@@ -164,7 +184,8 @@
         let mut stream = Stream { socket, hello: Hello::default() };
         let Some(from_client::Said::Hello(hello)) = stream.next().said else { panic!("no hello") };
         stream.hello = hello;
-        let welcome = Welcome { protocol: 1, lineage: 7 };
+        let owner = Owner { duty: "versions".into(), member: 1, term: 1, ..Owner::default() };
+        let welcome = Welcome { protocol: 1, lineage: 7, owner: Some(owner), member: 1, name_term: 1 };
         stream.say(&FromService { said: Some(from_service::Said::Welcome(welcome)) });
         stream
     }
@@ -208,7 +229,7 @@
 pub fn offer(number: u64, nonce: u64, document: &str) -> Offer {
     let document: Document = text::parse(document).unwrap();
     let content = Some(Content::Snapshot(document.clone()));
-    Offer { version: Some(version(number, &document)), nonce, content, rolls_back_to: 0 }
+    Offer { version: Some(version(number, &document)), nonce, content, rolls_back_to: 0, term: 1 }
 }
 
 pub fn offering(offer: Offer) -> FromService {
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -287,7 +287,11 @@
     until("the second is in force", || in_force(&proxy) == second);
     control.kill();
     std::fs::copy(&backup, control.store()).unwrap();
-    control.restart();
+    let (code, _, why) = control.run_to_end();
+    assert_eq!(code, 1);
+    assert_eq!(why.lines().count(), 1, "{why}");
+    assert!(why.contains("older than its seal") && why.contains("--restored"), "{why}");
+    control.restart_with(&["--restored"]);
     until("the proxy is seen to be ahead", || control.proxy("n0")["ahead"] == true);
     assert_eq!(in_force(&proxy), second);
     let third = control.publish("limits { max_open: 13 }", &[]);
