Mend what the group's process tests found: gray stores, steps that restart, silent services

A member whose store failed asks for no lease before the store held for 5 s. - A successor called a version complete before any proxy had come back to it, and filled a step up with other proxies while those of the step were on their way. Both wait for up to 10 s for proxies it has not met. - members remove never answered: it asked for a lock that it held. - A command waited for one silent service until its time was up; each of several gets 2 s now.

--- a/crates/config/src/rollout.rs
+++ b/crates/config/src/rollout.rs
@@ -212,11 +212,11 @@
 impl Rollout {
     /// A service that starts with these versions stored: number, plan, state, and the version that each brings back
     /// (0: none). One that was on its way goes on from its first step.
-    pub fn recover(stored: impl IntoIterator<Item = (u64, Plan, State, u64)>) -> Self {
+    pub fn recover(now: f64, stored: impl IntoIterator<Item = (u64, Plan, State, u64)>) -> Self {
         let mut rollout = Rollout::default();
         for (number, plan, state, rolls_back_to) in stored {
-            let back = rolls_back_to > 0;
-            rollout.versions.insert(number, Rolling { back, ..Rolling::new(plan, state) });
+            let (back, resumed) = (rolls_back_to > 0, now);
+            rollout.versions.insert(number, Rolling { back, resumed, ..Rolling::new(plan, state) });
         }
         rollout
     }
@@ -240,7 +240,7 @@
     }
 
     /// Goes on where the last owner stood.
-    pub fn resume(&mut self, now: f64, progress: Progress) {
+    pub fn resume(&mut self, progress: Progress) {
         let Some(version) = self.versions.get_mut(&progress.number) else { return };
         if version.state != State::Rolling {
             return;
@@ -250,7 +250,6 @@
             1 => Step::Share,
             _ => Step::All,
         };
-        version.resumed = now;
         version.chosen = progress.chosen.into_iter().collect();
         version.against = progress.against.into_iter().collect();
         if let [served, unserved, others, unserved_others] = progress.counts[..] {
@@ -436,14 +435,16 @@
             match version.step {
                 Step::All => {
                     let mut here = self.proxies.values().filter(|it| it.stream.is_some());
-                    if version.back || here.all(|proxy| settled(now, number, version, proxy)) {
+                    // Behind a start or a change of owner nobody is here yet: that all of nobody have it proves nothing.
+                    let awaited = now - version.resumed < BACK_WITHIN;
+                    if version.back || !awaited && here.all(|proxy| settled(now, number, version, proxy)) {
                         version.state = State::Complete;
                         out.push(Action::State { number, state: State::Complete, why: String::new() });
                     }
                     return;
                 }
                 Step::First | Step::Share => {
-                    self.choose(number, version);
+                    self.choose(now, number, version);
                     if !self.held(now, number, version) {
                         return;
                     }
@@ -470,7 +471,7 @@
 
     /// Fills the step's proxies up from those that are connected, by a lot that differs from version to version: not
     /// always the same proxies go first.
-    fn choose(&self, number: u64, version: &mut Rolling) {
+    fn choose(&self, now: f64, number: u64, version: &mut Rolling) {
         // Those that have it are of the step: a service that starts anew goes on with them.
         let have = self.proxies.iter().filter(|(_, it)| it.in_force == number);
         version.chosen.extend(have.map(|(name, _)| name.clone()));
@@ -481,7 +482,9 @@
             Step::Share => (version.plan.share * all as f64).ceil() as usize,
             Step::All => 0,
         };
-        let present = version.chosen.iter().filter(|name| connected(name)).count();
+        // Those of the step that this service has not met yet are on their way to it.
+        let awaited = |name: &str| now - version.resumed < BACK_WITHIN && !self.proxies.contains_key(name);
+        let present = version.chosen.iter().filter(|name| connected(name) || awaited(name)).count();
         let lot = |name: &String| {
             let mut hasher = DefaultHasher::new();
             (number, name).hash(&mut hasher);
@@ -705,8 +708,8 @@
         assert!(!share.is_empty());
         let progress = fleet.rollout.progress().unwrap();
         assert_eq!((progress.step, progress.against.len()), (1, 1));
-        let mut next = Fleet { rollout: Rollout::recover([(1, plan, State::Rolling, 0)]), now: 50.0 };
-        next.rollout.resume(50.0, progress.clone());
+        let mut next = Fleet { rollout: Rollout::recover(50.0, [(1, plan, State::Rolling, 0)]), now: 50.0 };
+        next.rollout.resume(progress.clone());
         for proxy in 0..10 {
             let have = progress.chosen.contains(&name(proxy)) && name(proxy) != chosen[1];
             let (in_force, build) = (have.then(|| Version { number: 1, digest: vec![1] }), "b".into());
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -17,6 +17,8 @@
 
 /// How long one try may take, and how long a call is tried at all while nobody can carry it out.
 const WITHIN: Duration = Duration::from_secs(5);
+/// How long one of several services may take, so that one that is silent leaves time for the others.
+const ONE_WITHIN: Duration = Duration::from_secs(2);
 /// Between two tries.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -50,7 +52,8 @@
                 break;
             }
             tries += 1;
-            match self.talk(what, address, left) {
+            let one = if self.addresses.len() > 1 { left.min(ONE_WITHIN) } else { left };
+            match self.talk(what, address, one) {
                 Ok(Some(reply::What::Error(error))) => return Err(error),
                 Ok(Some(reply::What::Owner(owner)))
                     if keys::allowed_text(&owner.operators, self.keys.is_some()) =>
--- a/crates/control/src/driving.rs
+++ b/crates/control/src/driving.rs
@@ -84,13 +84,13 @@
             });
             (versions.collect::<Vec<_>>(), charter.duties.get(VERSIONS).cloned().unwrap_or_default())
         });
-        inner.rollout = Rollout::recover(versions);
+        inner.rollout = Rollout::recover(clock::now(), versions);
         inner.order = duty.order;
         let progress = Progress::decode(duty.state.as_slice()).unwrap_or_default();
         let (version, step) = (progress.number, progress.step);
         tracing::info!(duty = VERSIONS, term, version, step, "acts");
         inner.told = Some(progress.clone());
-        inner.rollout.resume(clock::now(), progress);
+        inner.rollout.resume(progress);
         let streams: Vec<u64> = inner.lines.keys().copied().collect();
         for stream in streams {
             self.present(inner, stream);
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -163,7 +163,7 @@
             {
                 let mut view = lock(&self.view);
                 (view.broken, view.leader) = (Some(why), 0);
-                view.session = Session::new(Timing::default(), self.own.boot << 32);
+                view.session.failed(clock::now());
             }
             on_change(&[]);
             let until = Instant::now() + STORE_AGAIN;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -204,9 +204,10 @@
                 self.change(now, ConfChangeType::AddLearnerNode, member.number, context, why, tell);
             }
             Job::Leave(member, tell) => {
+                let last = self.group.alone() && member == self.group.own.number;
                 let why = self.group.charter(|charter| match charter.members.contains_key(&member) {
                     false => Some(format!("there is no member {member}")),
-                    true if self.group.alone() && member == self.group.own.number => Some("the last member cannot be removed".into()),
+                    true if last => Some("the last member cannot be removed".into()),
                     true => None,
                 });
                 self.change(now, ConfChangeType::RemoveNode, member, Vec::new(), why, tell);
--- a/crates/duty/src/lease.rs
+++ b/crates/duty/src/lease.rs
@@ -20,11 +20,14 @@
     pub renew: f64,
     /// After this time without effect a wish is told anew.
     pub again: f64,
+    /// A member whose store failed asks for no lease before the store has held for this time. Guards against one that
+    /// comes back for a moment each time, and would keep what it owns without ever doing it.
+    pub holds: f64,
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Timing { lease: 2_000.0, drift: 0.02, renew: 500.0, again: 1_000.0 }
+        Timing { lease: 2_000.0, drift: 0.02, renew: 500.0, again: 1_000.0, holds: 5_000.0 }
     }
 }
 
@@ -55,6 +58,13 @@
         Session { timing, until, applied: 0, asked: BTreeMap::new(), next: first, last }
     }
 
+    /// The member's store has failed: it owns nothing from now on, and has to hold before it asks again.
+    pub fn failed(&mut self, now: f64) {
+        self.until = f64::NEG_INFINITY;
+        self.asked.clear();
+        self.last = now + self.timing.holds - self.timing.renew;
+    }
+
     /// The number under which to ask for the lease now, if it is time to.
     pub fn ask(&mut self, now: f64) -> Option<u64> {
         if now - self.last < self.timing.renew {
@@ -262,6 +272,21 @@
         assert_eq!(session.left(3_000.0), 0.0);
     }
 
+    #[test]
+    fn a_member_whose_store_fails_again_and_again_never_asks() {
+        let mut session = Session::new(Timing::default(), 0);
+        let asked = session.ask(0.0).unwrap();
+        session.failed(100.0);
+        session.granted(asked, 0);
+        assert!(!session.may_act(101.0, 0), "what was granted before is void");
+        for failure in 1..50 {
+            let now = 100.0 + f64::from(failure) * 1_000.0;
+            assert_eq!(session.ask(now), None);
+            session.failed(now);
+        }
+        assert!(session.ask(49_100.0 + 5_000.0).is_some(), "it has held");
+    }
+
     #[test]
     fn a_silent_owner_keeps_its_duties_until_its_lease_has_ended_for_anybody() {
         let timing = Timing::default();
--- a/tests/common/group.rs
+++ b/tests/common/group.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use gaugestep_config::schema::{
-    DutyState, Fleet as Told, FromClient, HandOver, List, ListDuties, ListMembers, Member, Plan, Publish, Status,
-    call, from_client, reply,
+    DutyState, Fleet as Told, FromClient, HandOver, List, ListDuties, ListMembers, Member, Plan, Publish,
+    Status, call, from_client, reply,
 };
 use gaugestep_config::{short, text};
 use gaugestep_control::call::Service;
@@ -84,7 +84,8 @@
             self.relay
         );
         std::fs::write(&config, told).unwrap();
-        let log = std::fs::OpenOptions::new().append(true).create(true).open(self.folder.join("log")).unwrap();
+        let log =
+            std::fs::OpenOptions::new().append(true).create(true).open(self.folder.join("log")).unwrap();
         let mut command = Command::new("sh");
         command.args(["-c", &format!("{} exec \"$0\" --json serve --config \"$1\"", self.shell)]);
         command.arg(env!("CARGO_BIN_EXE_gaugestep-control")).arg(&config);
@@ -173,9 +174,11 @@
             let (listen, operators) = (relay.to_string(), operators.to_string());
             let member = Member { number, listen, operators, ..Member::default() };
             self.until_done(call::What::AddMember(member));
-            wait("the new member votes", || match self.node(number).call(call::What::Members(ListMembers {})) {
-                Ok(reply::What::Members(told)) => told.voters.contains(&number),
-                _ => false,
+            wait("the new member votes", || {
+                match self.node(number).call(call::What::Members(ListMembers {})) {
+                    Ok(reply::What::Members(told)) => told.voters.contains(&number),
+                    _ => false,
+                }
             });
         }
         self.owner();
@@ -380,8 +383,11 @@
                 }
             }
             let held = node.runs().then(|| node.versions()).unwrap_or_default();
-            records.extend(held.into_iter().map(|(number, digest, key)| {
-                Record::Holds { service: service.clone(), number, digest, key }
+            records.extend(held.into_iter().map(|(number, digest, key)| Record::Holds {
+                service: service.clone(),
+                number,
+                digest,
+                key,
             }));
         }
         records
@@ -490,7 +496,10 @@
         }
         let mut files: Vec<PathBuf> = self.nodes.iter().map(|node| node.folder.join("log")).collect();
         let all = std::fs::read_dir(self.folder.path()).into_iter().flatten().flatten();
-        files.extend(all.map(|file| file.path()).filter(|path| path.is_file() && path.to_string_lossy().contains("log-")));
+        files.extend(
+            all.map(|file| file.path())
+                .filter(|path| path.is_file() && path.to_string_lossy().contains("log-")),
+        );
         for file in files {
             let log = std::fs::read_to_string(&file).unwrap_or_default();
             let lines: Vec<&str> = log.lines().collect();
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -54,7 +54,16 @@
     pub fn new(databases: &'a [&'a Database]) -> Self {
         let change = &|text| text;
         let address = free_address();
-        Launch { address, databases, coordinator: None, listener: None, operator: None, log: None, out: "", change }
+        Launch {
+            address,
+            databases,
+            coordinator: None,
+            listener: None,
+            operator: None,
+            log: None,
+            out: "",
+            change,
+        }
     }
 
     /// Starts it and waits until it answers an empty query.
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -31,7 +31,8 @@
 fn two_processes_under_one_name_are_shown_as_two_and_the_earlier_one_is_told() {
     let group = Group::start(1);
     let earlier = group.proxy_in("n0", "earlier", 0);
-    group.in_force(std::slice::from_ref(&earlier), group.published("limits { max_open: 11 }", "a", at_once()));
+    group
+        .in_force(std::slice::from_ref(&earlier), group.published("limits { max_open: 11 }", "a", at_once()));
     let later = group.proxy_in("n0", "later", 0);
     let second = group.published("limits { max_open: 12 }", "b", at_once());
     group.in_force(std::slice::from_ref(&later), second);
@@ -71,7 +72,8 @@
     let (listen, operators) = (proxy::free_address(), proxy::free_address());
     let config = copy.join("control.textproto");
     let store = copy.join("versions.redb").display().to_string();
-    std::fs::write(&config, format!("listen: \"{listen}\" operators: \"{operators}\" store: {store:?}")).unwrap();
+    std::fs::write(&config, format!("listen: \"{listen}\" operators: \"{operators}\" store: {store:?}"))
+        .unwrap();
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
     let done = command.args(["serve", "--config"]).arg(&config).output().unwrap();
     let why = String::from_utf8_lossy(&done.stderr).into_owned();
@@ -111,7 +113,11 @@
     wait("the proxies have found the successor", || {
         group.status().is_some_and(|it| it.proxies.iter().filter(|one| one.connected).count() == 4)
     });
-    assert_eq!((group.state(staged).as_str(), have(staged)), ("ROLLING", 1), "it goes on in the step it found");
+    assert_eq!(
+        (group.state(staged).as_str(), have(staged)),
+        ("ROLLING", 1),
+        "it goes on in the step it found"
+    );
     let third = group.published("limits { max_open: 13 }", "c", at_once());
     group.in_force(&proxies, third);
     group.node_mut(old).go_on();
@@ -135,6 +141,7 @@
     let addresses = group.nodes.iter().map(|node| node.operators).collect();
     let publisher = Publisher::start(addresses, Duration::from_millis(50));
     wait("it has stopped itself", || !group.node(old).folder.join("stop").exists());
+    group.node_mut(old).stop();
     let (_, term) = group.owner_but(old);
     wait("its successor publishes", || group.state(first + 2) != "");
     group.node_mut(old).go_on();
@@ -163,7 +170,8 @@
         group.net.part(proxy, &name, false);
     }
     let why = |told: Result<(u64, String), String>| told.err();
-    let only_old = gaugestep_control::call::Service { addresses: vec![group.node(old).operators], keys: None };
+    let only_old =
+        gaugestep_control::call::Service { addresses: vec![group.node(old).operators], keys: None };
     let status = || only_old.call(&call::What::Status(Default::default()), true);
     wait("the old owner says that it cannot act", || status().is_err());
     wait("another one owns the versions", || {
@@ -196,7 +204,11 @@
             let deaf = Link { there: Way::Stalled, ..Link::default() };
             group.net.set(&from.to_string(), &to.to_string(), deaf);
         }
-        let number = group.published(&format!("limits {{ max_open: {} }}", 20 + round), &format!("r{round}"), at_once());
+        let number = group.published(
+            &format!("limits {{ max_open: {} }}", 20 + round),
+            &format!("r{round}"),
+            at_once(),
+        );
         group.in_force(&proxies, number);
         group.net.heal();
     }
@@ -271,7 +283,8 @@
     let (one, other) = (1, 2);
     group.nodes[one].kill();
     group.nodes[other].kill();
-    let places = |group: &Group, at: usize| (group.nodes[at].listen, group.nodes[at].relay, group.nodes[at].operators);
+    let places =
+        |group: &Group, at: usize| (group.nodes[at].listen, group.nodes[at].relay, group.nodes[at].operators);
     let (mine, theirs) = (places(&group, one), places(&group, other));
     for (at, place) in [(one, theirs), (other, mine)] {
         let node = &mut group.nodes[at];
@@ -413,7 +426,9 @@
     let message = gaugestep_config::schema::FromClient { said: Some(said) };
     let mut odd = std::net::TcpStream::connect(group.nodes[0].listen).unwrap();
     std::io::Write::write_all(&mut odd, &gaugestep_control::frame::encode(&message)).unwrap();
-    wait("it is shown", || group.status().is_some_and(|it| it.proxies.iter().any(|one| one.beyond == u64::MAX)));
+    wait("it is shown", || {
+        group.status().is_some_and(|it| it.proxies.iter().any(|one| one.beyond == u64::MAX))
+    });
     let (_, before) = group.owner();
     group.until_done(call::What::TakeOver("versions".into()));
     assert_eq!(group.owner().1, before + 1, "a term that nobody can have come to is not gone above");
@@ -475,7 +490,9 @@
         group.in_force(&proxies, first);
         // One proxy is away while the next version goes to all that are here, and is held.
         group.only_away("n1", &[1, 2, 3]);
-        wait("it is away", || proxies[1].figures().pointer("/configuration/connected") == Some(&false.into()));
+        wait("it is away", || {
+            proxies[1].figures().pointer("/configuration/connected") == Some(&false.into())
+        });
         let hold = Plan { hold_ms: 3_600_000, ..Plan::default() };
         let overtaken = group.published("limits { max_open: 12 }", "b", hold);
         group.in_force(&proxies[..1], overtaken);
@@ -557,12 +574,18 @@
     }
     let owners = |group: &Group| {
         let asked = group.nodes.iter().find(|node| node.runs()).unwrap();
-        asked.duties().into_iter().map(|it| (it.name, (it.owner, it.changes))).collect::<std::collections::BTreeMap<_, _>>()
+        asked
+            .duties()
+            .into_iter()
+            .map(|it| (it.name, (it.owner, it.changes)))
+            .collect::<std::collections::BTreeMap<_, _>>()
     };
     let even = |group: &Group, parts: &[usize]| {
         let owners = owners(group);
-        let mut counts: Vec<usize> =
-            (1..=3).map(|member| owners.values().filter(|it| it.0 == member).count()).filter(|it| *it > 0).collect();
+        let mut counts: Vec<usize> = (1..=3)
+            .map(|member| owners.values().filter(|it| it.0 == member).count())
+            .filter(|it| *it > 0)
+            .collect();
         counts.sort_unstable();
         counts == parts
     };
@@ -575,6 +598,7 @@
     assert_eq!(moved, 3, "only those of the dead one move");
     group.node_mut(3).start();
     wait("three have them again", || even(&group, &[3, 3, 3]));
-    let changes = |owners: &std::collections::BTreeMap<String, (u64, u64)>| owners.values().map(|it| it.1).sum::<u64>();
+    let changes =
+        |owners: &std::collections::BTreeMap<String, (u64, u64)>| owners.values().map(|it| it.1).sum::<u64>();
     assert_eq!(changes(&owners(&group)) - changes(&after), 3, "and three come back");
 }
