--- a/crates/config/src/rollout.rs
+++ b/crates/config/src/rollout.rs
@@ -435,9 +435,12 @@
             match version.step {
                 Step::All => {
                     let mut here = self.proxies.values().filter(|it| it.stream.is_some());
-                    // Behind a start or a change of owner nobody is here yet: that all of nobody have it proves nothing.
+                    // That all of nobody have it proves nothing: neither behind a start or a change of owner, when nobody
+                    // has come yet, nor once the last proxy has left.
                     let awaited = now - version.resumed < BACK_WITHIN;
-                    if version.back || !awaited && here.all(|proxy| settled(now, number, version, proxy)) {
+                    let somebody = self.proxies.is_empty() || here.clone().next().is_some();
+                    let all = here.all(|proxy| settled(now, number, version, proxy));
+                    if version.back || !awaited && somebody && all {
                         version.state = State::Complete;
                         out.push(Action::State { number, state: State::Complete, why: String::new() });
                     }
@@ -686,6 +689,26 @@
         assert_eq!(offers(&fleet.hello(20, 20, 0), 1), 1, "a newcomer gets it at once");
     }
 
+    /// The last proxy leaves while the version is held, or a service starts anew: nobody has it, and it is not complete.
+    #[test]
+    fn what_nobody_is_here_to_have_is_not_complete() {
+        let hold = Plan { hold_ms: 60_000, ..Plan::default() };
+        let mut fleet = Fleet::new(1);
+        let offered = fleet.publish(1, hold);
+        fleet.answer(offered, None);
+        fleet.tell(Event::Left { proxy: name(0), stream: 0 });
+        fleet.now = 120_000.0;
+        fleet.tell(Event::Tick);
+        assert_eq!(fleet.rollout.state(1), Some(State::Rolling));
+        let mut next = Fleet { rollout: Rollout::recover(0.0, [(1, hold, State::Rolling, 0)]), now: 9_000.0 };
+        next.tell(Event::Tick);
+        assert_eq!(next.rollout.state(1), Some(State::Rolling), "proxies may be on their way here");
+        next.hello(0, 0, 0);
+        next.now = 20_000.0;
+        next.tell(Event::Tick);
+        assert_eq!(next.rollout.state(1), Some(State::Rolling));
+    }
+
     /// Another service takes the rollout over in its second step: it goes on there, with what counts against it and the
     /// time for which the step has held.
     #[test]
--- a/crates/duty/src/receiver.rs
+++ b/crates/duty/src/receiver.rs
@@ -51,7 +51,7 @@
 }
 
 /// The receiver of acts `A`.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Receiver<A> {
     /// The highest terms, as they are on disk.
     kept: BTreeMap<String, u64>,
--- a/tests/common/group.rs
+++ b/tests/common/group.rs
@@ -77,7 +77,7 @@
     pub fn start(&mut self) {
         let (config, joins) = (self.folder.join("control.textproto"), self.number > 1);
         let told = format!(
-            "listen: \"{}\" operators: \"{}\" store: {:?} group {{ member: {} joins: {joins} listen_as: \"{}\" }}",
+            "listen: \"{}\" operators: \"{}\" store: {:?} keep: 2000 group {{ member: {} joins: {joins} listen_as: \"{}\" }}",
             self.listen,
             self.operators,
             self.store().display().to_string(),
