--- /dev/null
+++ b/benches/duties.rs
@@ -0,0 +1,222 @@
+//! What one owner at a time costs: `cargo bench --bench duties`. Prints figures and asserts none; those of note are kept in
+//! docs/one-owner.md, as ratios within one run. `GAUGESTEP_ROUNDS` sets how often an owner is lost (50). If
+//! `GAUGESTEP_EARLIER` names a control service of an earlier build, it is measured in the same run.
+
+#[path = "../tests/common/group.rs"]
+mod group;
+#[path = "../tests/common/proxy.rs"]
+mod proxy;
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use gaugestep_config::schema::{
+    Answer, FromClient, FromService, Hello, List, Publish, Status, call, from_client, from_service,
+};
+use gaugestep_config::text;
+use gaugestep_control::call::Service;
+use gaugestep_lab::process::Process;
+use group::{Group, wait};
+use prost::Message as _;
+
+fn median(mut all: Vec<f64>) -> (f64, f64) {
+    all.sort_by(f64::total_cmp);
+    (all[all.len() / 2], all[all.len() - 1])
+}
+
+/// How long nobody owns the versions once their owner is lost.
+fn lost(kind: &str, rounds: usize) {
+    let mut group = Group::start(3);
+    let mut spans = Vec::new();
+    for _ in 0..rounds {
+        wait("all are there", || group.nodes.iter().all(|node| group.heard(node.number).len() == 3));
+        let (old, _) = group.owner();
+        let others: Vec<SocketAddr> =
+            group.nodes.iter().filter(|node| node.number != old).map(|node| node.operators).collect();
+        let began = Instant::now();
+        match kind {
+            "kill" => group.node_mut(old).kill(),
+            "stop" => group.node_mut(old).stop(),
+            _ => group.isolate(old),
+        }
+        let beside = Service { addresses: others, keys: None };
+        // Whoever answers drives versions; the one that is lost may still be named for a while, and is not reached.
+        while beside.call(&call::What::Status(Status {}), true).is_err() || group.owner_of(old) {}
+        spans.push(began.elapsed().as_secs_f64() * 1e3);
+        match kind {
+            "kill" => group.node_mut(old).start(),
+            "stop" => group.node_mut(old).go_on(),
+            _ => group.net.heal(),
+        }
+    }
+    let (middle, worst) = median(spans);
+    let lease = gaugestep_duty::lease::Timing::default().lease;
+    println!(
+        "{kind}: {rounds} owners lost, nobody owns for {middle:.0} ms median, {worst:.0} ms worst; {:.2} and {:.2} leases",
+        middle / lease,
+        worst / lease
+    );
+}
+
+fn subscribe(service: SocketAddr, name: String, told: &Sender<(u64, Instant)>) -> std::io::Result<()> {
+    let mut socket = TcpStream::connect(service)?;
+    socket.set_nodelay(true)?;
+    let say = |socket: &mut TcpStream, said| {
+        socket.write_all(&gaugestep_control::frame::encode(&FromClient { said: Some(said) }))
+    };
+    say(&mut socket, from_client::Said::Hello(Hello { protocol: 1, proxy: name, ..Hello::default() }))?;
+    loop {
+        let mut head = [0; 4];
+        socket.read_exact(&mut head)?;
+        let mut body = vec![0; u32::from_be_bytes(head) as usize];
+        socket.read_exact(&mut body)?;
+        let said = FromService::decode(body.as_slice()).map_err(std::io::Error::other)?.said;
+        let mut number = 0;
+        if let Some(from_service::Said::Offer(offer)) = said {
+            number = offer.version.map_or(0, |version| version.number);
+            let answer = Answer { nonce: offer.nonce, number, refusal: None };
+            say(&mut socket, from_client::Said::Answer(answer))?;
+        }
+        let _ = told.send((number, Instant::now()));
+    }
+}
+
+fn subscribers(service: SocketAddr, count: usize) -> Receiver<(u64, Instant)> {
+    let (told, heard) = channel();
+    for number in 0..count {
+        let told = told.clone();
+        let run = move || drop(subscribe(service, format!("s{number}"), &told));
+        std::thread::Builder::new().stack_size(64 * 1024).spawn(run).unwrap();
+    }
+    (0..count).for_each(|_| assert!(heard.recv().is_ok()));
+    heard
+}
+
+/// Publish to acknowledged by all, in milliseconds; from the moment at which the call is made.
+fn published(listen: SocketAddr, operators: SocketAddr, count: usize) -> (f64, f64) {
+    let heard = subscribers(listen, count);
+    let service = Service { addresses: vec![operators], keys: None };
+    let mut spans = Vec::new();
+    for round in 0..20u64 {
+        let publish = Publish {
+            document: Some(text::parse(&format!("limits {{ max_open: {} }}", 10 + round)).unwrap()),
+            ..Publish::default()
+        };
+        let began = Instant::now();
+        service.call(&call::What::Publish(publish), true).unwrap();
+        let mut last = began;
+        let mut have = 0;
+        while have < count {
+            let (number, at) = heard.recv().unwrap();
+            if number > 0 {
+                (have, last) = (have + 1, last.max(at));
+            }
+        }
+        spans.push((last - began).as_secs_f64() * 1e3);
+    }
+    median(spans)
+}
+
+fn earlier(count: usize) -> Option<(f64, f64)> {
+    let program = std::env::var("GAUGESTEP_EARLIER").ok()?;
+    let folder = tempfile::tempdir().unwrap();
+    let (listen, operators) = (proxy::free_address(), proxy::free_address());
+    let config = folder.path().join("c.textproto");
+    let store = folder.path().join("v.redb").display().to_string();
+    std::fs::write(&config, format!("listen: \"{listen}\" operators: \"{operators}\" store: {store:?}"))
+        .unwrap();
+    let mut command = Command::new(program);
+    command.args(["serve", "--config"]).arg(&config).stdout(Stdio::null()).stderr(Stdio::null());
+    let _process = Process::start(&mut command).unwrap();
+    let service = Service { addresses: vec![operators], keys: None };
+    wait("the earlier build starts", || service.call(&call::What::List(List { most: 1 }), true).is_ok());
+    Some(published(listen, operators, count))
+}
+
+/// Processor time of a process so far, in milliseconds.
+fn cpu(process: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    (fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap()) * 10.0
+}
+
+/// What a group costs that does nothing, with so many duties.
+fn idle(group: &Group, duties: usize) {
+    let have = group.nodes[0].duties().len();
+    for at in have..duties {
+        group.until_done(call::What::Declare(format!("duty-{at}")));
+    }
+    wait("all have owners", || group.nodes[0].duties().iter().all(|duty| duty.owner > 0));
+    std::thread::sleep(Duration::from_secs(3));
+    let span = 10.0;
+    let spent = || group.nodes.iter().map(|node| cpu(node.process.as_ref().unwrap().id())).sum::<f64>();
+    let (before, bytes) = (spent(), group.net.bytes());
+    std::thread::sleep(Duration::from_secs_f64(span));
+    println!(
+        "idle, {duties:>5} duties on 3 services: {:.2} ms of processor a second for each, {:.0} bytes a second over all links",
+        (spent() - before) / span / 3.0,
+        (group.net.bytes() - bytes) as f64 / span
+    );
+}
+
+/// What following a group costs a proxy while nothing changes.
+fn proxies(group: &Group) {
+    let proxy = group.proxy("n0", 0);
+    wait("it follows", || proxy.figures().pointer("/configuration/connected") == Some(&true.into()));
+    let state = group.folder.path().join("proxy-n0");
+    let written = || {
+        let times = walk(&state);
+        times.into_iter().max()
+    };
+    let before = written();
+    std::thread::sleep(Duration::from_secs(10));
+    println!(
+        "a proxy: memory {}, files written in 10 s while nothing changes: {}",
+        proxy.status("VmRSS:"),
+        if written() == before { "none" } else { "some" }
+    );
+}
+
+fn walk(folder: &std::path::Path) -> Vec<std::time::SystemTime> {
+    let entries = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    entries
+        .flat_map(|entry| match entry.path().is_dir() {
+            true => walk(&entry.path()),
+            false => vec![entry.metadata().unwrap().modified().unwrap()],
+        })
+        .collect()
+}
+
+fn main() {
+    let rounds = std::env::var("GAUGESTEP_ROUNDS").ok().and_then(|told| told.parse().ok()).unwrap_or(50);
+    for count in [1, 30, 300] {
+        let before = earlier(count);
+        for services in [1, 3, 5] {
+            let group = Group::start(services);
+            let (owner, _) = group.owner();
+            let node = group.node(owner);
+            let (middle, worst) = published(node.listen, node.operators, count);
+            let ratio = before.map_or(String::new(), |before| {
+                format!("; {:.2} and {:.2} times the earlier build's", middle / before.0, worst / before.1)
+            });
+            println!(
+                "{services} services, {count:>3} subscribers: publish to acknowledged {middle:.1} ms median, {worst:.1} ms \
+                 worst{ratio}"
+            );
+        }
+    }
+    let group = Group::start(3);
+    for duties in [1, 100, 1_000] {
+        idle(&group, duties);
+    }
+    proxies(&group);
+    drop(group);
+    std::thread::scope(|scope| {
+        for kind in ["kill", "stop", "cut"] {
+            scope.spawn(move || lost(kind, rounds));
+        }
+    });
+}
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -46,6 +46,7 @@
     /// Where each relay passes connections on to.
     targets: BTreeMap<String, SocketAddr>,
     connections: BTreeMap<String, u64>,
+    bytes: u64,
 }
 
 /// All links of a fleet. Whatever is not said otherwise is open.
@@ -119,6 +120,11 @@
         self.lock().connections.get(name).copied().unwrap_or(0)
     }
 
+    /// Bytes passed on so far, both ways, over all links.
+    pub fn bytes(&self) -> u64 {
+        self.lock().bytes
+    }
+
     fn link(&self, from: &str, to: &str) -> Link {
         self.lock().links.get(&(from.to_owned(), to.to_owned())).copied().unwrap_or_default()
     }
@@ -215,6 +221,7 @@
                 }
                 Way::Open | Way::Stalled => {}
             }
+            self.lock().bytes += waiting.len() as u64;
             if sink.write_all(&waiting).is_err() {
                 break;
             }
--- a/tests/common/group.rs
+++ b/tests/common/group.rs
@@ -276,6 +276,13 @@
         owner
     }
 
+    /// Whether this one still is the owner, as the others know it.
+    pub fn owner_of(&self, old: u64) -> bool {
+        let others = self.nodes.iter().filter(|node| node.number != old && node.runs());
+        let states = others.flat_map(|node| node.duties()).filter(|it| it.name == "versions");
+        states.max_by_key(|it| it.term).is_none_or(|it| it.owner == old)
+    }
+
     /// Publishes under a key; the number, and the start of the digest.
     pub fn publish(&self, document: &str, key: &str, plan: Plan) -> Result<(u64, String), String> {
         let publish = Publish {
--- a/tests/example.rs
+++ b/tests/example.rs
@@ -78,3 +78,23 @@
     let document = text::parse(&read("examples/versions/document.textproto")).unwrap();
     assert_eq!(gaugestep_config::check::check(&document), []);
 }
+
+/// The files of the example with a group are of their forms, and the proxy names all its services.
+#[test]
+fn the_example_with_a_group_can_be_read() {
+    use gaugestep_config::schema::{Operator, Service};
+    use gaugestep_config::text;
+    let read = |name: &str| std::fs::read_to_string(file(name)).unwrap();
+    let services: Vec<Service> = (1..=3)
+        .map(|member| {
+            text::read("Service", &read(&format!("examples/group/control-{member}.textproto"))).unwrap()
+        })
+        .collect();
+    let operator: Operator = text::read("Operator", &read("examples/group/operator.textproto")).unwrap();
+    let listen: Vec<String> = services.iter().map(|service| service.listen.clone()).collect();
+    assert_eq!(operator.control.unwrap().services, listen);
+    for (at, service) in services.iter().enumerate() {
+        let settings = gaugestep_control::service::Settings::of(service).unwrap();
+        assert_eq!((settings.member.number, settings.joins), (at as u64 + 1, at > 0));
+    }
+}
