Move who is let in, what is proposed anew and what waits for a step out of the shells

Seen on the way, by a test that then failed now and then: a member that was removed while its stream stood open was never told, and ran on. Its next ping is answered with the refusal now.

--- a/crates/control/src/driving.rs
+++ b/crates/control/src/driving.rs
@@ -7,12 +7,11 @@
 use gaugestep_config::schema::act::What;
 use gaugestep_config::schema::entry::State;
 use gaugestep_config::schema::offer::Content;
-use gaugestep_config::schema::{
-    Act, Answer, Keep, NewState, NewVersion, Offer, Plan, Progress, from_service,
-};
+use gaugestep_config::schema::{Act, Answer, NewState, NewVersion, Offer, Plan, Progress, from_service};
 use gaugestep_config::{delta, short};
 use gaugestep_duty::VERSIONS;
 use gaugestep_duty::charter::{Change, Held, Outcome, RAISED_BY};
+use gaugestep_duty::gate::Gate;
 use gaugestep_duty::names::Given;
 use prost::Message as _;
 
@@ -20,9 +19,6 @@
 use crate::service::{Inner, Line, Service};
 use crate::{clock, lock};
 
-/// Counts of requests that have grown are told to the group this often, in milliseconds, while a rollout compares them.
-const COUNTS_EVERY: f64 = 5_000.0;
-
 /// Milliseconds of Unix time.
 pub(crate) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
@@ -66,8 +62,7 @@
         }
         inner.acting = acts;
         inner.rollout = Rollout::default();
-        inner.waiting.clear();
-        (inner.told, inner.keeping) = (None, 0);
+        inner.gate = Gate::default();
         match acts {
             None => tracing::warn!(duty = VERSIONS, "does not act any more"),
             Some(term) => self.begin(inner, term),
@@ -85,11 +80,10 @@
             (versions.collect::<Vec<_>>(), charter.duties.get(VERSIONS).cloned().unwrap_or_default())
         });
         inner.rollout = Rollout::recover(clock::now(), versions);
-        inner.order = duty.order;
         let progress = Progress::decode(duty.state.as_slice()).unwrap_or_default();
         let (version, step) = (progress.number, progress.step);
         tracing::info!(duty = VERSIONS, term, version, step, "acts");
-        inner.told = Some(progress.clone());
+        inner.gate = Gate::begin(duty.order, progress.clone());
         inner.rollout.resume(progress);
         let streams: Vec<u64> = inner.lines.keys().copied().collect();
         for stream in streams {
@@ -193,9 +187,9 @@
         self.tell_progress(inner, now, term);
         for action in actions {
             // The next owner must know of a step before any proxy does.
-            match action {
-                Action::Offer { .. } if inner.keeping > 0 => inner.waiting.push(action),
-                action => self.carry_out(inner, term, action),
+            let held = matches!(action, Action::Offer { .. });
+            if let Some(action) = if held { inner.gate.say(action) } else { Some(action) } {
+                self.carry_out(inner, term, action);
             }
         }
     }
@@ -262,44 +256,25 @@
 
     /// Has it agreed how far the rollout is, where that has changed.
     fn tell_progress(&self, inner: &mut Inner, now: f64, term: u64) {
-        let Some(progress) = inner.rollout.progress() else { return };
-        let grown = |told: &Progress| told.counts != progress.counts && now - inner.told_at >= COUNTS_EVERY;
-        let same = |told: &Progress| {
-            Progress { counts: Vec::new(), ..told.clone() }
-                == Progress { counts: Vec::new(), ..progress.clone() }
-        };
-        if inner.told.as_ref().is_some_and(|told| same(told) && !grown(told)) {
-            return;
-        }
-        inner.order += 1;
-        inner.keeping = inner.order;
-        let keep = Keep { state: progress.encode_to_vec(), order: inner.order };
-        (inner.told, inner.told_at) = (Some(progress), now);
-        let (kept, service) = (inner.order, self.itself());
+        let progress = inner.rollout.progress();
+        let Some(keep) = inner.gate.look(now, progress) else { return };
+        let (order, service) = (keep.order, self.itself());
         let act = Act { duty: VERSIONS.into(), term, what: Some(What::Keep(keep)), ..Act::default() };
-        self.group.propose(
-            act,
-            Box::new(move |outcome| {
-                if let Some(service) = service.upgrade() {
-                    service.kept(term, kept, outcome == Ok(Outcome::Done));
-                }
-            }),
-        );
+        let tell = move |outcome| {
+            if let Some(service) = service.upgrade() {
+                service.kept(term, order, outcome == Ok(Outcome::Done));
+            }
+        };
+        self.group.propose(act, Box::new(tell));
     }
 
-    /// The next owner knows of the step, or could not be told.
+    /// The next owner would know of the step, or could not be told.
     fn kept(&self, term: u64, order: u64, done: bool) {
         let mut inner = lock(&self.inner);
-        if inner.acting != Some(term) || inner.keeping != order {
-            return;
-        }
-        if !done {
-            // Told anew with the next event; what waits goes on waiting.
-            inner.told = None;
+        if inner.acting != Some(term) {
             return;
         }
-        inner.keeping = 0;
-        for action in std::mem::take(&mut inner.waiting) {
+        for action in inner.gate.kept(order, done) {
             self.carry_out(&mut inner, term, action);
         }
     }
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -12,11 +12,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use gaugestep_config::PROTOCOL;
 use gaugestep_config::schema::{self, Act, Entry, Member, PeerHello, PeerWelcome, Renewed, Yield};
+use gaugestep_duty::book::{Book, Refused};
 use gaugestep_duty::charter::{Change, Charter, Outcome, number};
 use gaugestep_duty::lease::{Session, Timing};
-use gaugestep_duty::seal::forgot;
 use raft::eraftpb::Message;
 
 use crate::keys::{ClientKeys, Files};
@@ -27,8 +26,6 @@
 
 /// A store that failed is opened anew after this time.
 const STORE_AGAIN: Duration = Duration::from_secs(1);
-/// A member that said nothing for this time is not shown as here, in milliseconds.
-const HEARD_WITHIN: f64 = 3_000.0;
 
 /// How a member runs.
 #[derive(Clone, Debug)]
@@ -69,9 +66,7 @@
     pub(crate) leader: u64,
     /// Members that vote; the others are catching up.
     pub(crate) voters: BTreeSet<u64>,
-    /// When members were heard of, and what is known of them beyond the charter.
-    pub(crate) heard: BTreeMap<u64, f64>,
-    pub(crate) book: BTreeMap<u64, Member>,
+    pub(crate) book: Book,
     /// Since when duties have their owners, as far as this member has seen; acts refused for an old term.
     pub(crate) since: BTreeMap<String, f64>,
     pub(crate) stale: BTreeMap<String, u64>,
@@ -109,15 +104,14 @@
         let (jobs, work) = channel();
         let first = opened.boot << 32;
         let group = Arc::new(Group {
-            own,
+            own: own.clone(),
             view: Mutex::new(View {
                 charter: opened.charter.clone(),
                 applied: opened.applied,
                 session: Session::new(Timing::default(), first),
                 leader: 0,
                 voters: opened.members.voters.iter().copied().collect(),
-                heard: BTreeMap::new(),
-                book: BTreeMap::new(),
+                book: Book::new(own.clone()),
                 since: BTreeMap::new(),
                 stale: BTreeMap::new(),
                 broken: None,
@@ -249,14 +243,13 @@
 
     /// What a command `members` shows.
     pub fn members(&self) -> schema::Members {
-        let (view, now) = (lock(&self.view), clock::now());
-        let known = |member: &Member| view.book.get(&member.number).unwrap_or(member).clone();
-        let heard = view.heard.iter().filter(|(_, at)| now - **at < HEARD_WITHIN).map(|(member, _)| *member);
+        let view = lock(&self.view);
+        let of_group = |member: &Member| view.charter.members.contains_key(&member.number);
         schema::Members {
             own: self.own.number,
             leader: view.leader,
-            members: view.charter.members.values().map(known).collect(),
-            heard: heard.chain([self.own.number]).collect(),
+            members: view.book.all(&view.charter).into_iter().filter(of_group).collect(),
+            heard: view.book.here(clock::now()),
             voters: view.voters.iter().copied().collect(),
         }
     }
@@ -275,10 +268,10 @@
         schema::Duties { duties: view.charter.duties.values().map(told).collect() }
     }
 
-    /// A member's addresses as they were heard of last.
+    /// A member as it was heard of last.
     pub fn member(&self, number: u64) -> Option<Member> {
         let view = lock(&self.view);
-        view.book.get(&number).or_else(|| view.charter.members.get(&number)).cloned()
+        view.book.member(&view.charter, number)
     }
 
     // What the streams between members need.
@@ -294,9 +287,7 @@
 
     pub(crate) fn others(&self) -> Vec<u64> {
         let view = lock(&self.view);
-        // One that has not joined yet knows the others by their word alone.
-        let known = if view.charter.lineage == 0 { &view.book } else { &view.charter.members };
-        known.keys().copied().filter(|it| *it != self.own.number).collect()
+        view.book.others(&view.charter)
     }
 
     pub(crate) fn address(&self, member: u64) -> Option<SocketAddr> {
@@ -305,69 +296,32 @@
 
     pub(crate) fn welcome(&self) -> PeerWelcome {
         let view = lock(&self.view);
-        let mut members: BTreeMap<u64, Member> = view.charter.members.clone();
-        members.extend(view.book.iter().map(|(number, member)| (*number, member.clone())));
-        members.insert(self.own.number, self.own.clone());
-        let members = members.into_values().collect();
+        let members = view.book.all(&view.charter);
         PeerWelcome { member: self.own.number, members, refused: String::new(), fatal: false }
     }
 
-    /// Why a peer is not let in, and whether it must end.
-    pub(crate) fn admits(&self, hello: &PeerHello) -> Result<(), (String, bool)> {
-        let from = hello.from.clone().unwrap_or_default();
-        if hello.protocol != PROTOCOL {
-            return Err(("a hello that this build does not understand".into(), false));
-        }
-        if hello.to != self.own.number {
-            return Err((format!("this is member {}", self.own.number), false));
-        }
-        if from.number == self.own.number {
-            return Err((format!("two services say that they are member {}", from.number), false));
-        }
+    pub(crate) fn admits(&self, hello: &PeerHello) -> Result<(), Refused> {
         let view = lock(&self.view);
-        if view.charter.removed.contains(&from.number) {
-            return Err((format!("member {} was removed", from.number), true));
-        }
-        if view.charter.lineage > 0 {
-            if hello.lineage > 0 && hello.lineage != view.charter.lineage {
-                return Err(("it is of another group".into(), false));
-            }
-            let Some(known) = view.charter.members.get(&from.number) else {
-                return Err((format!("there is no member {}", from.number), false));
-            };
-            let known = view.book.get(&from.number).unwrap_or(known);
-            if forgot((known.boot, known.nonce), (from.boot, from.nonce)) {
-                let why = format!(
-                    "a later start of member {} is known (number {}, this is number {}): its store is older than what \
-                     it has told. Remove the member, and add a new one with an empty store",
-                    from.number, known.boot, from.boot
-                );
-                return Err((why, true));
-            }
-        }
-        Ok(())
+        view.book.admits(&view.charter, hello)
     }
 
-    /// Takes what is said of members: a later start of one replaces what was known of it.
-    pub(crate) fn note(self: &Arc<Self>, members: &[Member]) {
-        self.take_note(members);
-        peers::dial(self);
+    pub(crate) fn keeps(&self, member: u64) -> Result<(), Refused> {
+        let view = lock(&self.view);
+        view.book.keeps(&view.charter, member)
     }
 
-    fn take_note(&self, members: &[Member]) {
-        let mut view = lock(&self.view);
-        for member in members.iter().filter(|it| it.number != self.own.number) {
-            let known = view.book.get(&member.number).or_else(|| view.charter.members.get(&member.number));
-            let later = known.map_or(view.charter.lineage == 0, |known| member.boot > known.boot);
-            let sound = member.listen.len() + member.operators.len() < 512;
-            if later && sound {
-                view.book.insert(member.number, member.clone());
-            }
+    /// Takes what is said of members, and speaks to those that are new.
+    pub(crate) fn note(self: &Arc<Self>, members: &[Member]) {
+        {
+            let mut view = lock(&self.view);
+            let View { book, charter, .. } = &mut *view;
+            book.note(charter, members);
         }
+        peers::dial(self);
     }
 
     pub(crate) fn heard(&self, member: u64, now: f64) {
-        lock(&self.view).heard.insert(member, now);
+        lock(&self.view).book.heard(member, now);
     }
 
     pub(crate) fn step(&self, message: Message) {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,6 +11,7 @@
 use gaugestep_config::schema::{self, Act, Member, RaftChange, Renew, Renewed, Yield};
 use gaugestep_duty::charter::{Change, Charter, Outcome};
 use gaugestep_duty::lease::{Action, Grantor, Timing};
+use gaugestep_duty::proposals::Proposals;
 use gaugestep_store::versions::{Batch, Versions as Store};
 use prost::Message as _;
 use raft::eraftpb::{ConfChange, ConfChangeType, EntryType, Message, MessageType, Snapshot};
@@ -25,10 +26,6 @@
 const TICK: Duration = Duration::from_millis(100);
 const ELECTION: usize = 10;
 const HEARTBEAT: usize = 2;
-/// How long something may take to be agreed on before whoever asked is told that it is not, in milliseconds.
-const AGREED_WITHIN: f64 = 4_000.0;
-/// What is not agreed on after this time is proposed anew, in milliseconds: a message may be lost.
-const AGAIN: f64 = 1_000.0;
 /// Entries of the log that are kept behind the one applied last, and how many more there must be to let go of them.
 const LOG_KEPT: u64 = 256;
 const LOG_MUCH: u64 = 1_024;
@@ -36,16 +33,6 @@
 const MESSAGE: u64 = 256 * 1024;
 /// Jobs taken before what they lead to is stored.
 const AT_ONCE: usize = 256;
-/// Jobs proposed that are not agreed on yet.
-const PENDING: usize = 1_024;
-/// Something that is proposed and not agreed on yet.
-struct Pending {
-    act: Option<Act>,
-    tell: Tell,
-    since: f64,
-    told: f64,
-}
-
 /// One turn with the library and the store.
 pub(crate) struct Node<'a> {
     group: &'a Arc<Group>,
@@ -54,8 +41,9 @@
     log: Log,
     store: Store,
     grantor: Grantor,
-    pending: BTreeMap<u64, Pending>,
-    next: u64,
+    proposals: Proposals,
+    /// Who waits for what was proposed.
+    waiting: BTreeMap<u64, Tell>,
     /// What changed since the service was told.
     changes: Vec<Change>,
     /// Acts that were applied, for those who wait.
@@ -121,8 +109,8 @@
             log,
             store,
             grantor: Grantor::new(Timing::default()),
-            pending: BTreeMap::new(),
-            next: 0,
+            proposals: Proposals::default(),
+            waiting: BTreeMap::new(),
             changes: Vec::new(),
             ended: Vec::new(),
         })
@@ -130,8 +118,8 @@
 
     pub(crate) fn run(mut self, work: &Receiver<Job>) -> Result<(), String> {
         let ended = self.work(work);
-        for (_, pending) in std::mem::take(&mut self.pending) {
-            (pending.tell)(Err("the store of this member has failed".into()));
+        for (_, tell) in std::mem::take(&mut self.waiting) {
+            tell(Err("the store of this member has failed".into()));
         }
         ended
     }
@@ -178,8 +166,8 @@
             }
             (self.on_change)(&changes);
             for (number, outcome) in std::mem::take(&mut self.ended) {
-                if let Some(pending) = self.pending.remove(&number) {
-                    (pending.tell)(Ok(outcome));
+                if let Some(tell) = self.waiting.remove(&number).filter(|_| self.proposals.ended(number)) {
+                    tell(Ok(outcome));
                 }
             }
         }
@@ -189,13 +177,11 @@
         let now = clock::now();
         match job {
             Job::Propose(act, tell) => {
-                if self.pending.len() >= PENDING {
+                let Some(number) = self.proposals.add(now, Some(*act)) else {
                     return tell(Err("too much waits to be agreed on".into()));
-                }
-                self.next += 1;
-                let told = f64::NEG_INFINITY;
-                self.pending.insert(self.next, Pending { act: Some(*act), tell, since: now, told });
-                self.propose(now, self.next);
+                };
+                self.waiting.insert(number, tell);
+                self.propose(now);
             }
             Job::Join(member, tell) => {
                 let why = self.group.charter(|charter| charter.bars(&member));
@@ -255,13 +241,15 @@
         }
         let mut change = ConfChange { node_id: member, context: context.into(), ..ConfChange::default() };
         change.set_change_type(kind);
-        self.next += 1;
-        match self.raw.propose_conf_change(self.mark(self.next), change) {
-            Ok(()) => {
-                let pending = Pending { act: None, tell, since: now, told: now };
-                self.pending.insert(self.next, pending);
+        let Some(number) = self.proposals.add(now, None) else {
+            return tell(Err("too much waits to be agreed on".into()));
+        };
+        match self.raw.propose_conf_change(self.mark(number), change) {
+            Ok(()) => drop(self.waiting.insert(number, tell)),
+            Err(_) => {
+                self.proposals.ended(number);
+                tell(Err("members are changed at the leader, one at a time".into()));
             }
-            Err(_) => tell(Err("members are changed at the leader, one at a time".into())),
         }
     }
 
@@ -270,30 +258,24 @@
         [self.group.own.number, self.group.own.nonce, number].map(u64::to_be_bytes).concat()
     }
 
-    fn propose(&mut self, now: f64, number: u64) {
-        let mark = self.mark(number);
-        let Some(pending) = self.pending.get_mut(&number) else { return };
-        let Some(act) = &pending.act else { return };
-        pending.told = now;
-        // Without a leader it is dropped, and proposed anew.
-        let _ = self.raw.propose(mark, act.encode_to_vec());
+    /// Proposes what is due, and gives up what has waited for too long.
+    fn propose(&mut self, now: f64) {
+        let due = self.proposals.due(now);
+        for (number, act) in due.propose {
+            // Without a leader it is dropped, and proposed anew.
+            let _ = self.raw.propose(self.mark(number), act.encode_to_vec());
+        }
+        for number in due.given_up {
+            if let Some(tell) = self.waiting.remove(&number) {
+                tell(Err("no majority of the control services answers".into()));
+            }
+        }
     }
 
     /// Looks at clocks: leases, and what waits to be agreed on.
     fn clocks(&mut self) {
         let now = clock::now();
-        let due: Vec<u64> =
-            self.pending.iter().filter(|(_, it)| now - it.told >= AGAIN).map(|(it, _)| *it).collect();
-        for number in due {
-            match self.pending.get(&number).is_some_and(|it| now - it.since < AGREED_WITHIN) {
-                true => self.propose(now, number),
-                false => {
-                    if let Some(pending) = self.pending.remove(&number) {
-                        (pending.tell)(Err("no majority of the control services answers".into()));
-                    }
-                }
-            }
-        }
+        self.propose(now);
         let leads = self.raw.raft.state == StateRole::Leader && self.raw.raft.commit_to_current_term();
         self.grantor.leads(now, leads);
         let leader = self.raw.raft.leader_id;
@@ -355,19 +337,15 @@
 
     /// Has it agreed where members are reached, once a later start of one was heard of.
     fn announce(&mut self) {
-        let own = self.group.own();
-        let later: Vec<Member> = {
+        let own = self.group.own.number;
+        let later = {
             let view = lock(&self.group.view);
-            let newer = |member: &&Member| {
-                let known = view.charter.members.get(&member.number);
-                known.is_some_and(|known| member.boot > known.boot)
-            };
-            view.book.values().chain([&own]).filter(newer).cloned().collect()
+            view.book.later(&view.charter)
         };
-        let asked = |it: &Pending, member: &Member| matches!(&it.act, Some(Act { what: Some(What::Member(asked)), .. }) if asked == member);
         for member in later {
-            if !self.pending.values().any(|it| asked(it, &member)) {
-                let act = Act { by: own.number, what: Some(What::Member(member)), ..Act::default() };
+            let what = Some(What::Member(member));
+            if !self.proposals.has(|act| act.what == what) {
+                let act = Act { by: own, what, ..Act::default() };
                 self.take(Job::Propose(Box::new(act), Box::new(|_| {})));
             }
         }
@@ -601,8 +579,7 @@
                 view.charter.join(member)
             }
             ConfChangeType::RemoveNode => {
-                view.book.remove(&told.member);
-                view.heard.remove(&told.member);
+                view.book.gone(told.member);
                 view.charter.leave(told.member)
             }
         };
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -15,6 +15,7 @@
     FromClient, FromService, Member, Peer, PeerHello, PeerWelcome, Piece, Ping, RaftMessage, from_client,
     from_service,
 };
+use gaugestep_duty::book::Refused;
 use may::net::TcpStream;
 use prost::Message as _;
 
@@ -206,6 +207,10 @@
     Ok(())
 }
 
+fn refusal(welcome: PeerWelcome, refused: &Refused) -> PeerWelcome {
+    PeerWelcome { refused: refused.to_string(), fatal: refused.fatal(), members: Vec::new(), ..welcome }
+}
+
 /// A peer's side of a stream that it dialed.
 pub struct Incoming {
     /// Who speaks.
@@ -217,12 +222,10 @@
     /// Lets a peer in, or says why not.
     pub fn hello(group: &Arc<Group>, hello: &PeerHello) -> (PeerWelcome, Option<Self>) {
         let from: Member = hello.from.clone().unwrap_or_default();
-        let verdict = group.admits(hello);
-        let (refused, fatal) = verdict.err().unwrap_or_default();
         let welcome = group.welcome();
-        if !refused.is_empty() {
+        if let Err(refused) = group.admits(hello) {
             tracing::warn!(member = from.number, boot = from.boot, "a member is not let in: {refused}");
-            return (PeerWelcome { refused, fatal, members: Vec::new(), ..welcome }, None);
+            return (refusal(welcome, &refused), None);
         }
         tracing::info!(member = from.number, boot = from.boot, "a member is here");
         group.note(std::slice::from_ref(&from));
@@ -233,7 +236,13 @@
     pub fn take(&mut self, group: &Arc<Group>, peer: Peer) -> io::Result<Option<PeerWelcome>> {
         group.heard(self.member, clock::now());
         match peer.said {
-            Some(Said::Ping(_)) => return Ok(Some(group.welcome())),
+            Some(Said::Ping(_)) => {
+                let welcome = group.welcome();
+                return Ok(Some(match group.keeps(self.member) {
+                    Ok(()) => welcome,
+                    Err(refused) => refusal(welcome, &refused),
+                }));
+            }
             Some(Said::Piece(piece)) => {
                 if self.pieces.len() + piece.part.len() > PIECES {
                     return Err(io::Error::other("a message of too many pieces"));
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -12,13 +12,14 @@
 
 use gaugestep_coio::stream::Waker;
 use gaugestep_coio::task;
-use gaugestep_config::rollout::{Event, Rollout};
+use gaugestep_config::rollout::{Action, Event, Rollout};
 use gaugestep_config::schema::{
-    Displaced, FromClient, FromService, Hello, Member, Progress, Welcome, from_client, from_service,
+    Displaced, FromClient, FromService, Hello, Member, Welcome, from_client, from_service,
 };
 use gaugestep_config::{PROTOCOL, schema};
 use gaugestep_duty::VERSIONS;
 use gaugestep_duty::doubt::Doubt;
+use gaugestep_duty::gate::Gate;
 use gaugestep_duty::names::{Given, Names};
 use may::net::{TcpListener, TcpStream};
 
@@ -158,13 +159,8 @@
     pub(crate) rollout: Rollout,
     /// The term under which it does.
     pub(crate) acting: Option<u64>,
-    /// What was told to the group of the rollout's progress, in which order, and what is not agreed on yet.
-    pub(crate) told: Option<Progress>,
-    pub(crate) told_at: f64,
-    pub(crate) order: u64,
-    pub(crate) keeping: u64,
-    /// Offers that wait for that.
-    pub(crate) waiting: Vec<gaugestep_config::rollout::Action>,
+    /// Holds offers of a step back until the next owner would know of it.
+    pub(crate) gate: Gate<Action>,
     pub(crate) names: Names,
     pub(crate) lines: BTreeMap<u64, Line>,
     pub(crate) next_stream: u64,
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -10,10 +10,13 @@
 //! Nothing here does I/O, reads a clock or starts a thread. Times are milliseconds on the embedder's clock, which must
 //! count the time for which the process or the machine was suspended.
 
+pub mod book;
 pub mod charter;
 pub mod doubt;
+pub mod gate;
 pub mod lease;
 pub mod names;
+pub mod proposals;
 pub mod receiver;
 pub mod seal;
 pub mod seek;
--- /dev/null
+++ b/crates/duty/src/proposals.rs
@@ -0,0 +1,99 @@
+//! What this member has proposed and is not agreed on yet: when it is proposed anew, and when whoever asked is told that it
+//! cannot be had. A message may be lost, a leader may change; an act that comes through twice does no harm by itself.
+
+use std::collections::BTreeMap;
+
+use gaugestep_config::schema::Act;
+
+/// How long something may take to be agreed on, in milliseconds.
+pub const WITHIN: f64 = 4_000.0;
+/// What is not agreed on after this time is proposed anew, in milliseconds.
+pub const AGAIN: f64 = 1_000.0;
+/// Proposals that may wait together.
+pub const MOST: usize = 1_024;
+
+struct Pending {
+    /// None: a change of members, which is proposed once.
+    act: Option<Act>,
+    since: f64,
+    told: f64,
+}
+
+/// What is due.
+#[derive(Debug, Default, PartialEq)]
+pub struct Due {
+    /// To be proposed, once more or for the first time: number and act.
+    pub propose: Vec<(u64, Act)>,
+    /// Given up: whoever asked is told.
+    pub given_up: Vec<u64>,
+}
+
+/// All proposals of one member.
+#[derive(Default)]
+pub struct Proposals {
+    next: u64,
+    pending: BTreeMap<u64, Pending>,
+}
+
+impl Proposals {
+    /// Something is to be agreed on; its number, or none if too much waits.
+    pub fn add(&mut self, now: f64, act: Option<Act>) -> Option<u64> {
+        if self.pending.len() >= MOST {
+            return None;
+        }
+        self.next += 1;
+        let told = if act.is_some() { f64::NEG_INFINITY } else { now };
+        self.pending.insert(self.next, Pending { act, since: now, told });
+        Some(self.next)
+    }
+
+    /// What is due by now.
+    pub fn due(&mut self, now: f64) -> Due {
+        let mut due = Due::default();
+        for (number, pending) in &mut self.pending {
+            if now - pending.since >= WITHIN {
+                due.given_up.push(*number);
+            } else if now - pending.told >= AGAIN {
+                pending.told = now;
+                due.propose.extend(pending.act.clone().map(|act| (*number, act)));
+            }
+        }
+        due.given_up.iter().for_each(|number| drop(self.pending.remove(number)));
+        due
+    }
+
+    /// Something was agreed on. False: it was given up, or this is its second time.
+    pub fn ended(&mut self, number: u64) -> bool {
+        self.pending.remove(&number).is_some()
+    }
+
+    /// Whether something like this waits already.
+    pub fn has(&self, like: impl Fn(&Act) -> bool) -> bool {
+        self.pending.values().filter_map(|it| it.act.as_ref()).any(like)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_lost_is_proposed_anew_and_given_up_in_the_end() {
+        let mut proposals = Proposals::default();
+        let act = Act { duty: "d".into(), ..Act::default() };
+        let number = proposals.add(0.0, Some(act.clone())).unwrap();
+        let change = proposals.add(0.0, None).unwrap();
+        assert_eq!(proposals.due(0.0).propose, [(number, act.clone())]);
+        assert_eq!(proposals.due(AGAIN - 1.0), Due::default());
+        assert_eq!(
+            proposals.due(AGAIN).propose,
+            [(number, act.clone())],
+            "a change of members is not told twice"
+        );
+        assert!(proposals.has(|it| *it == act) && proposals.ended(number));
+        assert!(!proposals.ended(number), "an act that comes through twice has ended once");
+        assert_eq!(proposals.due(WITHIN).given_up, [change]);
+        let full: Vec<Option<u64>> = (0..=MOST).map(|_| proposals.add(0.0, None)).collect();
+        assert!(full[MOST].is_none() && full[MOST - 1].is_some());
+    }
+}
