--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,7 +1,7 @@
 //! Operators' calls: one on each connection, one reply.
 
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gaugestep_config::schema::act::What;
 use gaugestep_config::schema::{
@@ -204,16 +204,7 @@
             Ok(term) => term,
             Err(elsewhere) => return *elsewhere,
         };
-        let members = self.group.members();
-        let here = |member: &u64| *member != members.own && members.heard.contains(member);
-        let owns = |member: u64| {
-            self.group.charter(|charter| charter.duties.values().filter(|it| it.owner == member).count())
-        };
-        let to = match wish.to {
-            0 => members.heard.iter().copied().filter(here).min_by_key(|member| (owns(*member), *member)),
-            to => Some(to).filter(here),
-        };
-        let Some(to) = to else {
+        let Some(to) = self.heir(wish.to) else {
             return error("there is no such member that was heard of within the last seconds");
         };
         let (tell, told) = may::sync::mpsc::channel();
@@ -221,6 +212,44 @@
         answer(told.recv().unwrap_or_else(|_| Err("the service is ending".into())))
     }
 
+    /// Who may be handed a duty: this member, or whichever has the fewest if none is named.
+    fn heir(&self, wanted: u64) -> Option<u64> {
+        let members = self.group.members();
+        let here = |member: &u64| {
+            *member != members.own && members.heard.contains(member) && members.voters.contains(member)
+        };
+        let owns = |member: u64| {
+            self.group.charter(|charter| charter.duties.values().filter(|it| it.owner == member).count())
+        };
+        match wanted {
+            0 => members.heard.iter().copied().filter(here).min_by_key(|member| (owns(*member), *member)),
+            wanted => Some(wanted).filter(here),
+        }
+    }
+
+    /// Hands all duties over, as before the end of the process, and waits for that, but not for long. Blocks its thread.
+    pub fn hand_all_over(&self, within: Duration) {
+        let (tell, told) = std::sync::mpsc::channel();
+        let own = self.group.own().number;
+        let owned: Vec<String> = self.group.charter(|charter| {
+            charter.duties.values().filter(|duty| duty.owner == own).map(|duty| duty.name.clone()).collect()
+        });
+        let mut wait = 0;
+        for duty in owned {
+            let (Some(term), Some(to)) = (self.group.acts(&duty), self.heir(0)) else { continue };
+            let tell = tell.clone();
+            tracing::info!(duty, term, to, "hands a duty over before the end");
+            self.group.hand_over(&duty, term, to, Box::new(move |outcome| drop(tell.send(outcome))));
+            wait += 1;
+        }
+        let until = Instant::now() + within;
+        for _ in 0..wait {
+            if told.recv_timeout(until.saturating_duration_since(Instant::now())).is_err() {
+                return;
+            }
+        }
+    }
+
     /// Goes on above the terms that proxies have seen.
     fn take_over(&self, duty: &str) -> Reply {
         let term = match self.acting(duty) {
--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -147,9 +147,16 @@
 #[derive(Subcommand)]
 enum ChangeMembers {
     /// Has a service join that runs on an empty store with `joins: true`.
-    Add(NewMember),
+    Add {
+        #[command(flatten)]
+        connect: Connect,
+        #[command(flatten)]
+        new: NewMember,
+    },
     /// Has a member leave for good; its number is never used again.
     Remove {
+        #[command(flatten)]
+        connect: Connect,
         /// Its number.
         number: u64,
     },
@@ -171,8 +178,8 @@
         Command::Rollback { connect, to, note } => commands::rollback(&out, &connect, to, note),
         Command::Members { connect, change } => match change {
             None => group_commands::members(&out, &connect),
-            Some(ChangeMembers::Add(new)) => group_commands::add(&out, &connect, &new),
-            Some(ChangeMembers::Remove { number }) => group_commands::remove(&out, &connect, number),
+            Some(ChangeMembers::Add { connect, new }) => group_commands::add(&out, &connect, &new),
+            Some(ChangeMembers::Remove { connect, number }) => group_commands::remove(&out, &connect, number),
         },
         Command::Duties { connect } => group_commands::duties(&out, &connect),
         Command::HandOver { connect, duty, to } => group_commands::hand_over(&out, &connect, &duty, to),
@@ -193,6 +200,9 @@
     }
 }
 
+/// How long a service that is to end waits until others have its duties.
+const HANDED_WITHIN: std::time::Duration = std::time::Duration::from_secs(1);
+
 fn serve(path: &std::path::Path, restored: bool, json: bool) -> Result<(), String> {
     use signal_hook::consts::{SIGINT, SIGTERM};
     let told: schema::Service = crate::read_file("Service", path)?;
@@ -211,9 +221,10 @@
     let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let seed = seed.map_or(1, |since| since.as_nanos() as u64) ^ (u64::from(std::process::id()) << 40);
     let (listen, operators) = (settings.listen, settings.operators);
-    let _service = Service::start(settings, seed)?;
+    let service = Service::start(settings, seed)?;
     tracing::info!(%listen, %operators, "serving");
     let signal = signals.forever().next();
+    service.hand_all_over(HANDED_WITHIN);
     tracing::info!(signal, "done");
     Ok(())
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -33,8 +33,9 @@
 const PING_EVERY: Duration = Duration::from_millis(1_000);
 /// The longest wait before a member is dialed anew, in milliseconds.
 const DIAL_AGAIN: f64 = 1_000.0;
-/// Messages that may wait for one member; the oldest give way.
+/// Messages that may wait for one member, and their bytes; the oldest give way.
 const WAITING: usize = 512;
+const WAITING_BYTES: usize = 16 * 1024 * 1024;
 /// Bytes of a message that is sent in one piece, and of all pieces of one.
 const PIECE: usize = 512 * 1024;
 const PIECES: usize = 256 * 1024 * 1024;
@@ -43,10 +44,19 @@
 #[derive(Default)]
 struct Link {
     queue: VecDeque<Peer>,
+    bytes: usize,
     waker: Option<Waker>,
     welcome: bool,
 }
 
+impl Link {
+    fn next(&mut self) -> Option<Peer> {
+        let peer = self.queue.pop_front()?;
+        self.bytes -= peer.encoded_len();
+        Some(peer)
+    }
+}
+
 /// The links to all others.
 #[derive(Default)]
 pub struct Links(Mutex<BTreeMap<u64, Link>>);
@@ -56,10 +66,12 @@
     pub fn say(&self, member: u64, said: Said) -> bool {
         let mut links = lock(&self.0);
         let Some(link) = links.get_mut(&member).filter(|link| link.welcome) else { return false };
-        if link.queue.len() >= WAITING {
-            link.queue.pop_front();
+        let peer = Peer { said: Some(said) };
+        link.bytes += peer.encoded_len();
+        link.queue.push_back(peer);
+        while link.queue.len() > WAITING || link.queue.len() > 1 && link.bytes > WAITING_BYTES {
+            link.next();
         }
-        link.queue.push_back(Peer { said: Some(said) });
         if let Some(waker) = &link.waker {
             waker.wakeup();
         }
@@ -169,7 +181,7 @@
             if let Some(piece) = pieces.pop_front() {
                 send(&mut channel, Peer { said: Some(Said::Piece(piece)) })?;
             } else {
-                let next = lock(&group.links.0).get_mut(&member).and_then(|link| link.queue.pop_front());
+                let next = lock(&group.links.0).get_mut(&member).and_then(Link::next);
                 let Some(peer) = next else { break };
                 match peer.encoded_len() <= PIECE {
                     true => send(&mut channel, peer)?,
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -46,6 +46,12 @@
         self.stopped
     }
 
+    /// Asks it to end (SIGTERM) and waits until it has.
+    pub fn end(&mut self) -> io::Result<ExitStatus> {
+        self.signal(Signal::TERM)?;
+        self.child.wait()
+    }
+
     /// Kills it outright and waits for its end.
     pub fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -572,6 +572,25 @@
     assert!(!judge(&group.records(&["n0"])).breaches.contains(&Breach::Forked(1)));
 }
 
+#[test]
+fn a_service_that_is_told_to_end_hands_its_duties_over_first() {
+    let mut group = Group::start(3);
+    let proxies = [group.proxy("n0", 0)];
+    let (old, term) = group.owner();
+    let ended = group.node_mut(old).process.take().unwrap().end().unwrap();
+    assert!(ended.success());
+    let (next, later) = group.owner_beside(old);
+    assert_eq!(later, term + 1);
+    let assigned = |log: String| log.lines().any(|line| line.contains("assigns a duty"));
+    assert!(
+        group.but(old).into_iter().all(|it| !assigned(group.node(it).log())),
+        "nobody had to wait for a lease"
+    );
+    let number = group.published("limits { max_open: 11 }", "a", at_once());
+    group.in_force(&proxies, number);
+    assert_ne!(next, old);
+}
+
 #[test]
 fn many_duties_are_spread_evenly_and_few_move_when_a_member_goes_and_comes() {
     let mut group = Group::start(3);
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -53,23 +53,28 @@
 
 /// A service with keys, one authority for proxies and one for operators.
 fn service() -> (Control, Authority, Authority) {
-    let folder = tempfile::tempdir().unwrap();
     let (proxies, operators) = (Authority::new("proxies"), Authority::new("operators"));
+    (service_of(&proxies, &operators, "control.test", ""), proxies, operators)
+}
+
+/// A service whose certificate carries this name, with more in its file.
+fn service_of(proxies: &Authority, operators: &Authority, name: &str, more: &str) -> Control {
+    let folder = tempfile::tempdir().unwrap();
     proxies.write(folder.path(), "proxies");
     operators.write(folder.path(), "operators");
-    proxies.sign(folder.path(), "service", "control.test");
+    proxies.sign(folder.path(), "service", name);
     operators.sign(folder.path(), "operator", "anybody");
     let path = |name: &str| folder.path().join(name).display().to_string();
     let extra = format!(
-        "{} operators_authority: {:?}",
+        "{} operators_authority: {:?} {more}",
         keys(folder.path(), "service", "proxies"),
         path("operators.pem")
     );
     let client = ["--certificate", "operator.pem", "--key", "operator.key", "--authority", "proxies.pem"];
     let mut client: Vec<String> =
         client.iter().map(|it| if it.starts_with("--") { (*it).to_owned() } else { path(it) }).collect();
-    client.extend(["--service-name".to_owned(), "control.test".to_owned()]);
-    (Control::keyed(folder, extra, client), proxies, operators)
+    client.extend(["--service-name".to_owned(), name.to_owned()]);
+    Control::keyed(folder, extra, client)
 }
 
 /// A proxy that shows the certificate of this name in its files.
@@ -142,3 +147,34 @@
     let believed = proxy(&control, &kept, "n0");
     until("its own key is believed", || in_force(&believed) == number);
 }
+
+/// Members show each other the service's certificate; one that shows a proxy's is of no group.
+#[test]
+fn members_of_a_group_believe_the_services_name_alone() {
+    let (proxies, operators) = (Authority::new("proxies"), Authority::new("operators"));
+    let of = |member: u32, joins: bool, name: &str| {
+        let group = format!("group {{ member: {member} joins: {joins} service_name: \"control.test\" }}");
+        service_of(&proxies, &operators, name, &group)
+    };
+    let (first, second) = (of(1, false, "control.test"), of(2, true, "control.test"));
+    let add = |number: &str, of: &Control| {
+        let (listen, operators) = (of.listen.to_string(), of.operators.to_string());
+        first.run(&["members", "add", number, &listen, &operators])
+    };
+    assert_eq!(add("2", &second).0, 0);
+    let votes = || {
+        let members = first.json(&["members"])["members"].clone();
+        members.as_array().unwrap().iter().filter(|it| it["votes"] == true && it["here"] == true).count()
+    };
+    until("both vote", || votes() == 2);
+    let number = first.publish("limits { max_open: 21 }", &[]);
+    until("the second holds it", || second.json(&["list"])[0]["version"] == number);
+    let third = of(3, true, "n0");
+    until("it is added, though it is never spoken to", || {
+        let (code, _, why) = add("3", &third);
+        code == 0 || why.contains("is there already")
+    });
+    until("its certificate is not believed", || first.log().contains("not valid for name"));
+    assert_eq!(votes(), 2);
+    assert_eq!(first.publish("limits { max_open: 22 }", &[]), number + 1, "and it holds nothing up");
+}
