--- a/benches/duties.rs
+++ b/benches/duties.rs
@@ -153,12 +153,14 @@
     std::thread::sleep(Duration::from_secs(3));
     let span = 10.0;
     let spent = || group.nodes.iter().map(|node| cpu(node.process.as_ref().unwrap().id())).sum::<f64>();
-    let (before, bytes) = (spent(), group.net.bytes());
+    let (before, (bytes, pieces)) = (spent(), group.net.passed());
     std::thread::sleep(Duration::from_secs_f64(span));
     println!(
-        "idle, {duties:>5} duties on 3 services: {:.2} ms of processor a second for each, {:.0} bytes a second over all links",
+        "idle, {duties:>5} duties on 3 services: {:.2} ms of processor a second for each; over all links {:.0} messages and {:.0} \
+         bytes a second",
         (spent() - before) / span / 3.0,
-        (group.net.bytes() - bytes) as f64 / span
+        (group.net.passed().1 - pieces) as f64 / span,
+        (group.net.passed().0 - bytes) as f64 / span
     );
 }
 
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -22,6 +22,8 @@
     Delay(usize, usize, u64),
     /// Connections between them end in the middle of a message.
     Cut(usize, usize, u64),
+    /// Their connections are reset.
+    Reset(usize, usize),
     /// A proxy does not reach a service.
     Away(usize, usize),
     /// All links are open again, and whatever was stopped or killed runs.
@@ -54,7 +56,7 @@
             let one = below(services);
             let other = (one + 1 + below(services.saturating_sub(1))) % services.max(1);
             let out_of_it = dead.len() + stopped.len();
-            let fault = match below(12) {
+            let fault = match below(13) {
                 0 | 1 if out_of_it < minority && !dead.contains(&one) && !stopped.contains(&one) => {
                     dead.push(one);
                     Fault::Kill(one)
@@ -70,12 +72,13 @@
                 8 if one != other => Fault::Delay(one, other, 20 + below(200) as u64),
                 9 if one != other => Fault::Cut(one, other, 1 + below(400) as u64),
                 10 if proxies > 0 => Fault::Away(below(proxies), one),
-                11 if below(3) == 0 => {
+                11 if one != other => Fault::Reset(one, other),
+                12 if below(3) == 0 => {
                     dead.clear();
                     stopped.clear();
                     Fault::Heal
                 }
-                11 => Fault::HandOver,
+                12 => Fault::HandOver,
                 _ => continue,
             };
             out.push((pause, fault));
@@ -114,6 +117,6 @@
             }
             assert!(most <= 1, "a majority of three is left");
         }
-        assert_eq!(kinds.len(), 11, "{kinds:?}");
+        assert_eq!(kinds.len(), 12, "{kinds:?}");
     }
 }
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -46,7 +46,7 @@
     /// Where each relay passes connections on to.
     targets: BTreeMap<String, SocketAddr>,
     connections: BTreeMap<String, u64>,
-    bytes: u64,
+    passed: (u64, u64),
 }
 
 /// All links of a fleet. Whatever is not said otherwise is open.
@@ -110,6 +110,13 @@
         self.set(other, one, Link::default());
     }
 
+    /// Resets the connections between two, once.
+    pub fn reset(&self, from: &str, to: &str) {
+        self.set(from, to, Link { reset: true, ..Link::default() });
+        std::thread::sleep(5 * LOOK);
+        self.set(from, to, Link::default());
+    }
+
     /// Opens all links.
     pub fn heal(&self) {
         self.lock().links.clear();
@@ -120,9 +127,9 @@
         self.lock().connections.get(name).copied().unwrap_or(0)
     }
 
-    /// Bytes passed on so far, both ways, over all links.
-    pub fn bytes(&self) -> u64 {
-        self.lock().bytes
+    /// Bytes passed on so far, both ways, over all links, and in how many pieces: mostly a message each.
+    pub fn passed(&self) -> (u64, u64) {
+        self.lock().passed
     }
 
     fn link(&self, from: &str, to: &str) -> Link {
@@ -221,7 +228,10 @@
                 }
                 Way::Open | Way::Stalled => {}
             }
-            self.lock().bytes += waiting.len() as u64;
+            {
+                let (bytes, pieces) = &mut self.lock().passed;
+                (*bytes, *pieces) = (*bytes + waiting.len() as u64, *pieces + 1);
+            }
             if sink.write_all(&waiting).is_err() {
                 break;
             }
--- a/tests/common/group.rs
+++ b/tests/common/group.rs
@@ -369,6 +369,7 @@
                     let cut = Link { there: Way::CutAfter(*bytes), ..Link::default() };
                     self.net.set(&name(*one), &name(*other), cut);
                 }
+                Fault::Reset(one, other) => self.net.reset(&name(*one), &name(*other)),
                 Fault::Away(proxy, service) => self.net.part(&proxies[*proxy], &name(*service), true),
                 Fault::HandOver => drop(self.hand_over(0)),
                 Fault::Heal => {
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -591,6 +591,67 @@
     assert_ne!(next, old);
 }
 
+#[test]
+fn five_services_go_on_while_two_are_dead_and_a_third_is_cut_off_for_a_while() {
+    let mut group = Group::start(5);
+    let proxies = [group.proxy("n0", 0), group.proxy("n1", 3)];
+    group.in_force(&proxies, group.published("limits { max_open: 11 }", "a", at_once()));
+    let (owner, _) = group.owner();
+    group.node_mut(owner).kill();
+    let (next, _) = group.owner_beside(owner);
+    group.node_mut(next).kill();
+    let second = group.published("limits { max_open: 12 }", "b", at_once());
+    group.in_force(&proxies, second);
+    // Three are left, and all of them are needed.
+    let left = group.nodes.iter().find(|node| node.runs()).unwrap().number;
+    group.isolate(left);
+    wait("there is no majority", || group.publish("limits { max_open: 13 }", "c", at_once()).is_err());
+    assert!(proxies.iter().all(|proxy| version(proxy) == Some(second)));
+    group.net.heal();
+    let third = group.published("limits { max_open: 13 }", "c", at_once());
+    group.in_force(&proxies, third);
+    group.node_mut(owner).start();
+    group.node_mut(next).start();
+    group.settled();
+    assert_eq!(judge(&group.records(&["n0", "n1"])).breaches, []);
+}
+
+/// A store as earlier builds left it: versions and a lineage, and nothing that anybody agreed on.
+#[test]
+fn the_store_of_an_earlier_build_is_taken_over_by_a_lone_service() {
+    use gaugestep_config::schema::{Entry, entry::State};
+    use prost::Message as _;
+    let mut group = Group::start(1);
+    group.node_mut(1).kill();
+    for name in ["versions.redb", "versions.redb.seal"] {
+        std::fs::remove_file(group.node(1).folder.join(name)).unwrap();
+    }
+    let document = gaugestep_config::text::parse("limits { max_open: 17 }").unwrap();
+    {
+        let store = gaugestep_store::versions::Versions::open(&group.node(1).store()).unwrap();
+        assert_eq!(store.lineage(77).unwrap(), 77);
+        let entry = Entry {
+            version: Some(gaugestep_config::version(5, &document)),
+            state: State::Complete as i32,
+            ..Entry::default()
+        };
+        let batch = gaugestep_store::versions::Batch {
+            documents: vec![(5, document.encode_to_vec())],
+            entries: vec![(5, entry.encode_to_vec())],
+            sync: true,
+            ..Default::default()
+        };
+        store.write(&batch).unwrap();
+    }
+    group.node_mut(1).start();
+    let proxies = [group.proxy("n0", 0)];
+    group.in_force(&proxies, 5);
+    assert!(group.lines("n0").iter().any(|line| line["lineage"] == 77));
+    let next = group.published("limits { max_open: 18 }", "a", at_once());
+    assert_eq!(next, 6);
+    group.in_force(&proxies, next);
+}
+
 #[test]
 fn many_duties_are_spread_evenly_and_few_move_when_a_member_goes_and_comes() {
     let mut group = Group::start(3);
