Let every member go of its log, and number proposals so that none is taken for another

And numbers of proposals began anew when a store was opened anew: one from before that came through late would have been told to whoever asked first after it, as published. They go on now; a unit test says so.

--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -146,12 +146,12 @@
     /// One turn after the other: each lasts until the store fails.
     fn turns(self: &Arc<Self>, first: Opened, work: &Receiver<Job>, on_change: &OnChange) {
         let mut opened = Some(first);
-        loop {
+        for turn_number in 0u64.. {
             let turn = match opened.take() {
                 Some(opened) => Ok(opened),
                 None => Opened::open(&self.settings, Some(self.own.boot)),
             };
-            let ended = turn.and_then(|opened| Node::start(self, opened, on_change)?.run(work));
+            let ended = turn.and_then(|opened| Node::start(self, opened, turn_number, on_change)?.run(work));
             let Err(why) = ended else { return };
             tracing::error!(member = self.own.number, "the store cannot be used: {why}");
             {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -71,6 +71,7 @@
     pub(crate) fn start(
         group: &'a Arc<Group>,
         opened: Opened,
+        turn: u64,
         on_change: &'a OnChange,
     ) -> Result<Self, String> {
         let Opened { store, charter, hard, members, base, applied, entries, .. } = opened;
@@ -109,7 +110,7 @@
             log,
             store,
             grantor: Grantor::new(Timing::default()),
-            proposals: Proposals::default(),
+            proposals: Proposals::new(turn << 32),
             waiting: BTreeMap::new(),
             changes: Vec::new(),
             ended: Vec::new(),
@@ -423,14 +424,19 @@
             let committed = light.take_committed_entries();
             if !committed.is_empty() {
                 self.apply(committed, &mut batch)?;
-                if let Some(base) = self.log.compact(LOG_KEPT, LOG_MUCH) {
-                    // What is applied must be on disk before the entries that it came from are let go.
-                    batch.values.push(("base", unpair(base)));
-                    (batch.log_below, batch.sync) = (Some(base.0 + 1), true);
-                }
                 self.store.write(&batch)?;
             }
             self.raw.advance_apply();
+            if let Some(base) = self.log.compact(LOG_KEPT, LOG_MUCH) {
+                // Synced with it: what is applied must be on disk before the entries that it came from are let go.
+                let values = vec![("base", unpair(base))];
+                self.store.write(&Batch {
+                    log_below: Some(base.0 + 1),
+                    values,
+                    sync: true,
+                    ..Batch::default()
+                })?;
+            }
             for read in reads {
                 if let Ok(number) = <[u8; 8]>::try_from(read.request_ctx.as_slice()) {
                     let granted = self.grantor.confirmed(u64::from_be_bytes(number));
--- a/crates/duty/src/proposals.rs
+++ b/crates/duty/src/proposals.rs
@@ -29,13 +29,18 @@
 }
 
 /// All proposals of one member.
-#[derive(Default)]
 pub struct Proposals {
     next: u64,
     pending: BTreeMap<u64, Pending>,
 }
 
 impl Proposals {
+    /// No proposal yet. Numbers begin above `last`: what was proposed before under a lower one may still come through, and
+    /// must not be taken for one of these.
+    pub fn new(last: u64) -> Self {
+        Proposals { next: last, pending: BTreeMap::new() }
+    }
+
     /// Something is to be agreed on; its number, or none if too much waits.
     pub fn add(&mut self, now: f64, act: Option<Act>) -> Option<u64> {
         if self.pending.len() >= MOST {
@@ -79,9 +84,10 @@
 
     #[test]
     fn what_is_lost_is_proposed_anew_and_given_up_in_the_end() {
-        let mut proposals = Proposals::default();
+        let mut proposals = Proposals::new(7 << 32);
         let act = Act { duty: "d".into(), ..Act::default() };
         let number = proposals.add(0.0, Some(act.clone())).unwrap();
+        assert_eq!(number, (7 << 32) + 1, "none is used twice by one process");
         let change = proposals.add(0.0, None).unwrap();
         assert_eq!(proposals.due(0.0).propose, [(number, act.clone())]);
         assert_eq!(proposals.due(AGAIN - 1.0), Due::default());
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -652,6 +652,35 @@
     group.in_force(&proxies, next);
 }
 
+/// More is agreed on while a member is away than anybody keeps as a log: it is sent all of it, and every member lets go.
+#[test]
+fn a_member_that_was_away_for_longer_than_the_log_is_kept_is_sent_all_that_is_agreed() {
+    let mut group = Group::start(3);
+    let first = group.published("limits { max_open: 11 }", "a", at_once());
+    group.node_mut(3).kill();
+    group.owner();
+    for _ in 0..1_500 {
+        group.until_done(call::What::Declare("further".into()));
+    }
+    let second = group.published("limits { max_open: 12 }", "b", at_once());
+    let took = |group: &Group| group.node(3).log().matches("took all that is agreed").count();
+    let before = took(&group);
+    group.node_mut(3).start();
+    wait("it has been sent all of it", || took(&group) > before);
+    group.settled();
+    // Those that were there hold no more of the log either, whoever led; what they stored of it starts anew too.
+    for number in [1, 2] {
+        group.node_mut(number).kill();
+        let store = gaugestep_store::versions::Versions::open(&group.node(number).store()).unwrap();
+        let kept = store.log().unwrap().len();
+        assert!(kept < 1_300, "{kept} entries at member {number}");
+        drop(store);
+        group.node_mut(number).start();
+    }
+    group.settled();
+    assert_eq!(group.nodes[0].versions().iter().map(|it| it.0).collect::<Vec<_>>(), [second, first]);
+}
+
 #[test]
 fn many_duties_are_spread_evenly_and_few_move_when_a_member_goes_and_comes() {
     let mut group = Group::start(3);
