--- a/benches/duties.rs
+++ b/benches/duties.rs
@@ -136,6 +136,32 @@
     Some(published(listen, operators, count))
 }
 
+/// Publish to in force and synced at so many proxies of the real program, in milliseconds.
+fn real(group: &Group, count: usize) {
+    let proxies: Vec<proxy::Proxy> = (0..count).map(|at| group.proxy(&format!("n{at}"), at)).collect();
+    let have = |number: u64| {
+        let told = group.status().map(|fleet| fleet.proxies).unwrap_or_default();
+        told.iter().filter(|it| it.connected && it.in_force == number).count()
+    };
+    wait("all are here", || {
+        group.status().is_some_and(|it| it.proxies.iter().filter(|it| it.connected).count() == count)
+    });
+    let mut spans = Vec::new();
+    for round in 0..10 {
+        let began = Instant::now();
+        let number =
+            group.published(&format!("limits {{ max_open: {} }}", 50 + round), "", Default::default());
+        while have(number) < count {}
+        spans.push(began.elapsed().as_secs_f64() * 1e3);
+    }
+    let (middle, worst) = median(spans);
+    println!(
+        "{} services, {count:>3} real proxies: publish to in force and synced at all {middle:.1} ms median, {worst:.1} ms worst",
+        group.nodes.len()
+    );
+    drop(proxies);
+}
+
 /// Processor time of a process so far, in milliseconds.
 fn cpu(process: u32) -> f64 {
     let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
@@ -210,6 +236,11 @@
             );
         }
     }
+    for services in [1, 3, 5] {
+        for count in [1, 30] {
+            real(&Group::start(services), count);
+        }
+    }
     let group = Group::start(3);
     for duties in [1, 100, 1_000] {
         idle(&group, duties);
