Have a lone service that stood still believe a proxy that hears it, not a hello that waited

Seen: the test of a lone service that was stopped failed now and then: a hello from before the stop, or one that waited in the socket meanwhile, took the doubt away, and a version was published that no proxy followed. Change: figures vouch, which a proxy sends only once it has heard this service's welcome.

--- a/crates/control/src/driving.rs
+++ b/crates/control/src/driving.rs
@@ -99,9 +99,7 @@
             return;
         }
         let (seen, term) = (line.seen(), inner.acting.unwrap_or(0));
-        if seen <= term || crate::seams::out("owner") {
-            lock(&self.doubt).vouched();
-        } else if inner.acting.is_some() {
+        if seen > term && inner.acting.is_some() && !crate::seams::out("owner") {
             tracing::warn!(proxy = hello.proxy, seen, term, "a proxy has seen a later owner");
             if self.restored && seen - term <= RAISED_BY {
                 // The operator said that whoever used the store before is gone for good.
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -364,6 +364,7 @@
                                 Event::Figures { proxy, stream, served, unserved, number },
                             );
                         }
+                        self.vouched(&inner, stream);
                         let welcome = self.welcome(&inner, stream);
                         drop(inner);
                         channel.send(&FromService { said: Some(from_service::Said::Welcome(welcome)) })?;
@@ -397,6 +398,15 @@
         }
     }
 
+    /// A proxy tells its figures, and so has heard this service's welcome: it follows no later owner. A hello proves less, as
+    /// one may have waited while this service stood still.
+    fn vouched(&self, inner: &Inner, stream: u64) {
+        let term = self.group.charter(|charter| charter.owner(VERSIONS).1);
+        if inner.lines.get(&stream).is_some_and(|line| line.end.is_none() && line.seen() <= term) {
+            lock(&self.doubt).vouched();
+        }
+    }
+
     /// Guards each place against whoever holds another's key.
     fn certified(&self, channel: &Channel, name: Option<&str>) -> io::Result<()> {
         let Some(certificate) = channel.peer() else { return Ok(()) };
