--- a/crates/duty/src/charter.rs
+++ b/crates/duty/src/charter.rs
@@ -1,5 +1,5 @@
 //! What the control services agree on: members, duties with owners and terms, and the versions that the owner of
-//! [`VERSIONS`](crate::VERSIONS) published. Every member applies the same acts in the same order and comes to the same
+//! [`VERSIONS`] published. Every member applies the same acts in the same order and comes to the same
 //! charter; an act under an old term is refused here by all of them alike, whatever its proposer believed.
 
 use std::collections::{BTreeMap, BTreeSet};
