Compare only a proxy's own engines, and spread what all try again at one moment

Seen by a new process test (ten proxies that follow a roster, doubled under load while two engines are replaced cold, then halved by kills; the platform's number of proxies wrong by two): 15 proxies at one engine where the table allows 14. A proxy compares two engines of its subset with the three that it heard of last, and those stayed in use, and so heard of, when a new roster gave it others. Now only engines of its own are compared; the test fails without it and passes with it: 6 or 7 proxies at each engine, 13 or 14, and 6 or 7 again, and no window at the replaced engines over the rule while two rosters are in force.

Seen in simulated time: 40 dispatchers that met one failure at one moment all came back within 5 ms. The time for which an engine is left alone and the pause before the coordinator is called anew are stretched by the proxy's place, evenly from a half to one and a half (no more than a third within 50 ms of 250; the test fails without it: 40 of 40).

--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -27,6 +27,8 @@
     gateway: Arc<Gateway>,
     known: Mutex<Known>,
     place: Mutex<Place>,
+    /// Before the coordinator is called anew.
+    pause: Duration,
     changed: OnceLock<Box<dyn Fn() + Send + Sync>>,
 }
 
@@ -64,9 +66,12 @@
 
 impl Roster {
     /// A roster that knows nothing yet and will follow the coordinator at `address`.
-    pub fn new(gateway: Arc<Gateway>, address: Option<SocketAddr>) -> Self {
+    ///
+    /// `spread` stretches the pause before it is called anew, by the proxy's place: all proxies lose it at one moment.
+    pub fn new(gateway: Arc<Gateway>, address: Option<SocketAddr>, spread: f64) -> Self {
         let place = Mutex::new(Place { address, open: None });
-        Roster { gateway, known: Mutex::default(), place, changed: OnceLock::new() }
+        let pause = PAUSE.mul_f64(spread);
+        Roster { gateway, known: Mutex::default(), place, pause, changed: OnceLock::new() }
     }
 
     /// How many databases are listed.
@@ -198,7 +203,7 @@
             let moved = place.address != address;
             drop(place);
             if !moved {
-                task::sleep(PAUSE);
+                task::sleep(self.pause);
             }
         }
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -89,6 +89,7 @@
         };
         let longest = (config.limits.memory_bytes / MEMORY_PART / sessions).max(LEAST_MESSAGE);
         let settings = bounded(config.settings, &config.limits);
+        let spread = gaugestep_seats::turn::spread(settings.place.stand());
         let told = Told {
             proxy: config.name.clone(),
             names: config.names.clone(),
@@ -107,7 +108,7 @@
             max_open: AtomicUsize::new(config.limits.max_open),
             changes: Mutex::new(()),
         });
-        let roster = Arc::new(Roster::new(gateway.clone(), config.coordinator));
+        let roster = Arc::new(Roster::new(gateway.clone(), config.coordinator, spread));
         roster.know(config.known_index, &config.known);
         let versioned = Versioned::start(gateway.clone(), roster.clone(), told, set_log);
         let front = Arc::new(Front::new(gateway.clone(), config.seed, longest));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use gaugestep_seats::subset::Subset;
-use gaugestep_seats::turn::{Allowance, Budget};
+use gaugestep_seats::turn::{Allowance, Budget, spread};
 
 use crate::interface::*;
 use crate::requests::{Attempt, KeyLine, Request};
@@ -573,7 +573,7 @@
                 if strikes > 0 && engine.strikes >= STRIKES_OUT {
                     out.push(Action::Log(format!("engine {}: left alone, {:?}", end.engine.0, end.outcome)));
                     let doubled = f64::from((engine.strikes / STRIKES_OUT).min(8) - 1).exp2();
-                    let wait = (BAR_FIRST * doubled).min(BAR_MOST);
+                    let wait = (BAR_FIRST * doubled).min(BAR_MOST) * spread(self.subset.stands(end.engine.0));
                     engine.barred_until = now + wait;
                     if end.outcome == Outcome::ConnectFailed {
                         // A process that comes back after this is cold, whenever the list says so.
@@ -843,7 +843,8 @@
             let own = fit.as_ref().unwrap_or(&self.own.0);
             let mut any = || own[self.random.rand_range(0..own.len() as u64) as usize];
             let drawn = if own.is_empty() { 0 } else { AT_RANDOM };
-            (0..drawn).map(|_| any()).chain(self.heard.iter().copied()).collect()
+            let heard = self.heard.iter().copied().filter(|engine| own.contains(engine));
+            (0..drawn).map(|_| any()).chain(heard).collect()
         } else {
             self.engines.keys().copied().collect()
         };
@@ -855,7 +856,7 @@
         self.settings.dispatchers > WIDE && self.engines.len() > HEARD + AT_RANDOM
     }
 
-    /// The engines that this dispatcher draws from, of those that fit: its subset, and others for those left alone.
+    /// The engines that are drawn from: the subset as far as it fits, and others for those left alone.
     fn own(&self, fit: impl Fn(&Engine) -> bool) -> Vec<EngineId> {
         let listed = self.subset.order.iter().filter_map(|id| self.engines.get(&EngineId(*id)));
         let fit = listed.filter(|engine| self.healthy(engine) && fit(engine));
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -12,10 +12,12 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use gaugestep_config::schema::call;
+use gaugestep_duty::SEATS;
 use gaugestep_lab::crowd::{Rule, cold, drawn, late};
 use gaugestep_lab::stand::{Arrival, Engine, List, Records};
 use gaugestep_seats::fairness::fairness;
-use group::wait;
+use group::{Group, wait};
 use oorandom::Rand64;
 use proxy::{Client, Launch, Proxy};
 
@@ -87,6 +89,13 @@
         self.proxies.push(proxy);
     }
 
+    /// Starts one that is told no number and follows the services, which keep a roster.
+    fn add_following(&mut self, group: &Group, number: u64) {
+        let name = format!("n{number}");
+        let proxy = group.proxy_with("", &name, &name, 0, &|text| self.change(text, number, ""));
+        self.proxies.push(proxy);
+    }
+
     /// Clients of these proxies ask for light and heavy work, one after the other, until told to end. One whose proxy goes
     /// away comes again.
     fn load(&mut self, seed: u64, numbers: std::ops::Range<u64>) {
@@ -217,3 +226,51 @@
     assert!(most <= PROXIES * 5, "{most} connections at one engine");
     assert!(even(&crowd.answers) > 0.8, "{:?}", crowd.answers);
 }
+
+/// A roster that follows the fleet, while the platform's number of proxies is wrong by a factor of two: ten proxies, twice
+/// as many under load while engines are replaced cold, and half of them killed at one moment.
+#[test]
+fn a_fleet_that_is_doubled_and_halved_under_load_draws_engines_evenly_again() {
+    let group = Group::start(3);
+    group.until_done(call::What::Declare(SEATS.into()));
+    let mut crowd = Crowd::start(12);
+    (0..10).for_each(|number| crowd.add_following(&group, number));
+    group.seated(&crowd.proxies.iter().collect::<Vec<_>>(), 10);
+    crowd.load(3, 0..10);
+    // Engines that are drawn by how many proxies, from when all have the roster until some requests later.
+    let drawn_now = |crowd: &Crowd, more: u64| {
+        let from = crowd.records.now() + 500.0;
+        crowd.pass(more);
+        let recent: Vec<Arrival> = crowd.records.arrivals().into_iter().filter(|it| it.at > from).collect();
+        drawn(&recent, proxy_of)
+    };
+    let few = drawn_now(&crowd, 4_000);
+    assert!(few.len() == 12 && few.values().all(|count| (6..=7).contains(count)), "{few:?}");
+    // Doubled, with two engines replaced while two rosters are in force.
+    let mut replaced = Vec::new();
+    for number in 10..20 {
+        crowd.add_following(&group, number);
+        if number % 5 == 2 {
+            let at = replaced.len();
+            replaced.push(crowd.replace(at, Duration::from_millis(100)));
+        }
+    }
+    crowd.load(4, 10..20);
+    group.seated(&crowd.proxies.iter().collect::<Vec<_>>(), 20);
+    wait("the replaced engines are warm", || {
+        replaced.iter().all(|(_, started, _)| crowd.records.now() > started + RULE.warm_within)
+    });
+    let many = drawn_now(&crowd, 8_000);
+    assert!(many.len() == 12 && many.values().all(|count| (13..=14).contains(count)), "{many:?}");
+    crowd.proxies[..10].iter_mut().for_each(Proxy::kill);
+    group.seated(&crowd.proxies[10..].iter().collect::<Vec<_>>(), 10);
+    let half = drawn_now(&crowd, 4_000);
+    assert!(half.len() == 12 && half.values().all(|count| (6..=7).contains(count)), "{half:?}");
+    crowd.end();
+    let arrivals = crowd.records.arrivals();
+    for (new, started, _) in &replaced {
+        let (window, proxies, _) = cold(&arrivals, &crowd.engines[*new].name, *started, &RULE, proxy_of);
+        assert!(window <= 1.0, "{window} of what the rule allows in one window, from {proxies} proxies");
+        assert!(proxies > 3, "it is used");
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -133,3 +133,36 @@
     // Each right is used twice: twice the limit's part, and no more.
     assert!(worst(&few) <= 2.0, "{}", worst(&few));
 }
+
+/// All meet one failure at one moment, as where an engine hangs or a zone is cut off: they try again one after the other.
+#[test]
+fn dispatchers_that_met_one_failure_come_back_one_after_the_other() {
+    let mut back = Vec::new();
+    for seat in 0..DISPATCHERS {
+        let place = Place::seat(seat as u32, DISPATCHERS as u32).unwrap();
+        let settings = settings(vec![class(Effect::Safe, 1.0)]);
+        let settings = Settings { dispatchers: DISPATCHERS as usize, place, ..settings };
+        let mut desk = Desk { dispatcher: Dispatcher::new(settings, seat).unwrap(), now: 0.0 };
+        desk.tell(Event::EngineList(vec![entry(0)]));
+        assert_eq!(desk.arrive(request(0, 0, 60_000.0)).len(), 3);
+        let refused = AttemptEnd {
+            id: id(0),
+            attempt: AttemptNo(0),
+            engine: EngineId(0),
+            outcome: Outcome::Full,
+            finished: true,
+            elapsed: 1.0,
+            cost: None,
+            load: None,
+        };
+        desk.tell(Event::Ended(refused));
+        desk.arrive(request(1, 0, 60_000.0));
+        while !desk.wait(5.0).iter().any(|action| matches!(action, Action::Send { .. })) {
+            assert!(desk.now < 10_000.0);
+        }
+        back.push(desk.now);
+    }
+    let within = |from: f64| back.iter().filter(|at| (from..from + 50.0).contains(*at)).count();
+    let most = (0..100).map(|at| within(f64::from(at) * 10.0)).max().unwrap();
+    assert!(most <= DISPATCHERS as usize / 3, "{most} of {DISPATCHERS} within 50 ms: {back:?}");
+}
