Read the roster once for all proxies that are told of it

Found on a second reading: each change of the roster had it copied and decoded anew for every proxy that a service tells, with the streams locked meanwhile; with 300 proxies that is 300 times 300 names. It is read once now. The lease is still looked at before the roster is read, and a comment says why: an old roster must not go out under a new lease.

--- a/crates/control/src/seating.rs
+++ b/crates/control/src/seating.rs
@@ -92,24 +92,25 @@
             .propose(Act { duty: SEATS.into(), term, what: Some(keep), ..Act::default() }, Box::new(tell));
     }
 
-    /// What a proxy is told of its seat: nothing while this member could be behind, or another process has the name.
+    /// What proxies may be told of: nothing while this member could be behind. The lease is looked at before the roster is
+    /// read: the other way round the roster could be an old one and the lease a new one.
+    fn told(&self) -> Option<(schema::Duty, Roster)> {
+        let leased = self.group.leased() || crate::seams::out("owner");
+        self.agreed().filter(|(duty, _)| leased && duty.term > 0)
+    }
+
+    /// What a proxy is told of its seat: nothing while another process has the name.
     pub(crate) fn seated(&self, inner: &Inner, stream: u64) -> Option<Seated> {
-        let line = inner.lines.get(&stream)?;
-        let (hello, _) = line.hello.as_ref()?;
-        if !inner.names.holds(&hello.proxy, stream) || !(self.group.leased() || crate::seams::out("owner")) {
-            return None;
-        }
-        let (duty, roster) = self.agreed().filter(|(duty, _)| duty.term > 0)?;
-        let seat = roster.seat(&hello.proxy).map(|(seat, _)| seat);
-        let (term, epoch, seats) = (duty.term, roster.epoch, roster.names.len() as u32);
-        Some(Seated { term, epoch, asked_ms: line.asked, seat, seats })
+        seated(inner, stream, &self.told()?)
     }
 
     /// Tells all proxies of their seats.
     pub(crate) fn seat_all(&self, inner: &mut Inner) {
+        // Read once for all of them, as the lines are locked meanwhile.
+        let Some(told) = self.told() else { return };
         let streams: Vec<u64> = inner.lines.keys().copied().collect();
         for stream in streams {
-            let seated = self.seated(inner, stream);
+            let seated = seated(inner, stream, &told);
             if let (Some(seated), Some(line)) = (seated, inner.lines.get_mut(&stream)) {
                 line.say(from_service::Said::Seated(seated));
             }
@@ -123,3 +124,11 @@
         Some(schema::Seats { keeper, term, epoch, proxies: roster.names })
     }
 }
+
+fn seated(inner: &Inner, stream: u64, (duty, roster): &(schema::Duty, Roster)) -> Option<Seated> {
+    let line = inner.lines.get(&stream)?;
+    let (hello, _) = line.hello.as_ref().filter(|(hello, _)| inner.names.holds(&hello.proxy, stream))?;
+    let seat = roster.seat(&hello.proxy).map(|(seat, _)| seat);
+    let (term, epoch, seats) = (duty.term, roster.epoch, roster.names.len() as u32);
+    Some(Seated { term, epoch, asked_ms: line.asked, seat, seats })
+}
