Begin no attempt behind a client's back, and keep answers whole at every close

Seen on the unmodified program, twelve of 21 tests failing: - a query read together with its CancelRequest, one that waited for an engine or a dial, and what was sent far ahead of an answer went out behind the client's back: only the session knew of the close, and a send was written at once; - a CancelRequest amid its query was forgotten; a half-closed client got nothing; - the repeat of a keyed request whose dial outlasted its window was sent; a database that had told of progress was believed with SHED; - a session closed at shutdown was reset over a query that crossed it; clients that connected as the listener closed were reset; - a database that moved kept its old connections for 20 s; an answer or a list without end kept the one worker.

Change: a command is written when its socket takes it and not before, and only then is the client asked after, by its own socket (poll, nothing read) and its flag; connections that are still to be accepted or read are heard first, eight pauses of 1 ms at most. What was not begun moves to another connection once. The module tells until when a repeat may leave. Sessions shut their sending side and pass over what still comes; sessions count until they are closed; the listener ends with an empty queue. Reads per turn are bounded.

--- a/crates/coio/src/stream.rs
+++ b/crates/coio/src/stream.rs
@@ -3,8 +3,10 @@
 
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
+use std::os::fd::AsFd;
 
 use may::io::{CoIo, WaitIo, WaitIoWaker};
+use rustix::event::{PollFd, PollFlags, Timespec};
 
 /// Wakes the coroutine that owns a connection.
 pub type Waker = WaitIoWaker;
@@ -40,6 +42,8 @@
 
 /// Bytes read at once.
 const CHUNK: usize = 8 * 1024;
+/// Reads with which what nobody reads any more is passed over at most.
+const PASSES: usize = 32;
 
 /// Reads once into the end of `buffer`.
 pub fn fill(mut socket: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<Filled> {
@@ -60,6 +64,39 @@
     }
 }
 
+/// Whether the other side has closed its part of the connection, or the connection is broken: also where bytes that came
+/// before are still to be read. Asks the system and takes nothing off the socket.
+pub fn left(socket: &TcpStream) -> bool {
+    let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR | PollFlags::NVAL;
+    let mut ask = [PollFd::new(socket, PollFlags::IN | PollFlags::RDHUP)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    // Who cannot be asked after is taken to be there: the session hears of it in its own time.
+    if !rustix::event::poll(&mut ask, Some(&now)).is_ok_and(|told| told > 0) {
+        return false;
+    }
+    let told = ask[0].revents();
+    // A system that tells of no half-closed connection tells of it as of something to read, of which nothing comes.
+    told.intersects(gone) || told.contains(PollFlags::IN) && matches!(socket.peek(&mut [0]), Ok(0))
+}
+
+/// Whether something has come that is still to be read, or the other side has closed.
+pub fn readable(socket: &impl AsFd) -> bool {
+    let mut ask = [PollFd::new(socket, PollFlags::IN)];
+    rustix::event::poll(&mut ask, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|told| told > 0)
+}
+
+/// Passes over what has come and nobody reads any more: a connection that is closed with bytes unread is reset, and what
+/// was sent last is lost.
+pub fn pass_over(socket: &TcpStream) {
+    let mut bytes = Vec::new();
+    for _ in 0..PASSES {
+        if !matches!(fill(socket, &mut bytes), Ok(Filled::Some)) {
+            return;
+        }
+        bytes.clear();
+    }
+}
+
 /// Bytes on their way out.
 #[derive(Debug, Default)]
 pub struct Outbox {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -44,6 +44,8 @@
     pub attempt: AttemptNo,
     /// Its priority, where the engines heed one.
     pub priority: Option<u8>,
+    /// How long it may still be sent, where engines drop repeats only for a while.
+    pub left: Option<Duration>,
 }
 
 /// What a request's coroutine has to do next.
@@ -438,7 +440,9 @@
                         entry.sent += 1;
                         entry.out = Some((attempt, engine, now));
                         let priority = inner.priorities.then_some(entry.priority);
-                        let _ = entry.post.send(Letter::Send(Sending { engine, attempt, priority }));
+                        let until = inner.dispatcher.sendable_until(&id);
+                        let left = until.is_finite().then(|| milliseconds(until - now));
+                        let _ = entry.post.send(Letter::Send(Sending { engine, attempt, priority, left }));
                     }
                     entry => {
                         let finished = entry.as_ref().is_none_or(|entry| entry.over);
@@ -494,6 +498,11 @@
     }
 }
 
+/// A time that lasts so long, or none.
+fn milliseconds(time: Millis) -> Duration {
+    Duration::from_secs_f64(time.max(0.0) / 1e3)
+}
+
 /// Whole microseconds, rounded up: an alarm never goes off before its time.
 fn micros(at: Millis) -> u64 {
     (at.max(0.0) * 1e3).ceil() as u64
--- a/src/net/back/lines.rs
+++ b/src/net/back/lines.rs
@@ -1,7 +1,8 @@
 //! Connections to databases: lines of words, many requests on each connection.
 //!
-//! Each database has a pool of connections, each connection one coroutine. Whoever sends or cancels leaves the
-//! bytes with the connection and wakes its coroutine.
+//! Each database has a pool of connections, each connection one coroutine. Whoever sends leaves the request with the
+//! connection and wakes its coroutine, which writes the command when the socket takes it and not before: until its first
+//! byte leaves, a request can be given up, turned back or moved to another connection without a trace.
 
 use std::collections::HashMap;
 use std::io::Write as _;
@@ -17,7 +18,7 @@
 use crate::config::Limits;
 use crate::facade::{Letter, Sending};
 use crate::net::ending::Ending;
-use crate::net::stream::{Filled, Outbox, Stream, Waker, fill};
+use crate::net::stream::{Filled, Outbox, Stream, Waker, fill, pass_over};
 use crate::net::{AttemptEnding, News, Pages, Post, Query, lock, task};
 
 /// The longest line that a database may send, and the longest page.
@@ -40,6 +41,13 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// Bytes that may wait for a database that does not read.
 const MOST_WAITING: usize = 1024 * 1024;
+/// How often a request waits for what has come from clients to be heard first, before it is written, and for how long. A
+/// pause and no mere yield: on a busy machine a coroutine that yields runs again before anything else is read.
+const HEARINGS: u32 = 8;
+const HEARING: Duration = Duration::from_millis(1);
+/// Reads from one database before all others get their turn, and the pause then: an answer may never end.
+const READS: usize = 4;
+const PAUSE: Duration = Duration::from_millis(1);
 
 /// All connections to databases.
 pub struct Lines {
@@ -95,14 +103,44 @@
 struct Call {
     post: Post,
     attempt: AttemptNo,
-    /// What to send once the connection is up.
-    unsent: Option<(Arc<Query>, Option<u8>, Instant)>,
+    /// What to send once the connection takes it.
+    unsent: Option<Unsent>,
     /// Where its command begins in all that is written.
     begins: u64,
+    /// Whether a note told that it runs.
+    runs: bool,
     /// The result so far, once its end is known.
     result: Option<PartResult>,
+    /// The connection that it is on, which its handle knows too.
+    place: Place,
+    /// It was on a connection that turned out to be closed, and went to another.
+    moved: bool,
 }
 
+/// A request that waits for its connection.
+struct Unsent {
+    query: Arc<Query>,
+    priority: Option<u8>,
+    /// When its client leaves.
+    due: Instant,
+    /// The last moment at which it may be written.
+    by: Option<Instant>,
+}
+
+impl Unsent {
+    /// Why it may not be written any more.
+    fn moot(&self, now: Instant) -> Option<Ending> {
+        match self.by {
+            _ if self.query.client.gone() => Some(Ending::ClientLeft),
+            Some(by) if now > by => Some(Ending::TooLate),
+            _ => None,
+        }
+    }
+}
+
+/// The connection that an attempt is on.
+type Place = Arc<Mutex<Option<Arc<Connection>>>>;
+
 struct PartResult {
     end: AttemptEnding,
     missing: usize,
@@ -110,7 +148,7 @@
 
 /// A way to reach an attempt that is out.
 pub struct Handle {
-    connection: Option<Arc<Connection>>,
+    place: Place,
     id: RequestId,
 }
 
@@ -140,7 +178,10 @@
         let Some(address) = address else { return };
         let new = || Pool { address, accepting: true, connections: Vec::new() };
         let pool = pools.entry(engine).or_insert_with(new);
-        pool.address = address;
+        if pool.address != address {
+            // Guards against meeting an old connection: whoever answers at the old address is another.
+            std::mem::replace(pool, new()).close();
+        }
         pool.accepting = readiness == Readiness::Up;
         if !pool.accepting {
             for connection in &pool.connections {
@@ -173,32 +214,37 @@
         left: Duration,
         post: Post,
     ) -> Handle {
-        let id = query.new.id.clone();
-        let mut call = Some(Call {
+        let (id, place, now) = (query.new.id.clone(), Place::default(), Instant::now());
+        let call = Call {
             post,
             attempt: sending.attempt,
-            unsent: Some((query.clone(), sending.priority, Instant::now() + left)),
+            unsent: Some(Unsent {
+                query: query.clone(),
+                priority: sending.priority,
+                due: now + left,
+                by: sending.left.map(|left| now + left),
+            }),
             begins: 0,
+            runs: false,
             result: None,
-        });
-        let connection = self.connection(sending.engine);
-        if let Some(connection) = &connection {
-            let mut state = lock(&connection.state);
-            if state.phase != Phase::Closed {
-                if let Some(call) = call.take() {
-                    state.calls.insert(id.0.to_string(), call);
-                }
-                if state.phase == Phase::Up {
-                    state.write_unsent();
-                }
-            }
-            drop(state);
-            connection.wake();
-        }
-        if let Some(call) = call {
-            call.end(Ending::NeverWritten.into());
+            place: place.clone(),
+            moved: false,
+        };
+        self.place(sending.engine, id.0.to_string(), call);
+        Handle { place, id }
+    }
+
+    /// Leaves an attempt with a connection, or ends it.
+    fn place(self: &Arc<Self>, engine: EngineId, id: String, call: Call) {
+        let Some(connection) = self.connection(engine) else { return call.end(Ending::NeverWritten.into()) };
+        let mut state = lock(&connection.state);
+        if state.phase == Phase::Closed || state.close.is_some() {
+            return call.end(Ending::NeverWritten.into());
         }
-        Handle { connection, id }
+        *lock(&call.place) = Some(connection.clone());
+        state.calls.insert(id, call);
+        drop(state);
+        connection.wake();
     }
 
     /// The connection for one more attempt, a new one if need be.
@@ -280,7 +326,7 @@
 impl Handle {
     /// Gives the attempt up.
     pub fn cancel(&self) {
-        let Some(connection) = &self.connection else { return };
+        let Some(connection) = lock(&self.place).clone() else { return };
         let mut state = lock(&connection.state);
         let Some(call) = state.calls.remove(&*self.id.0) else { return };
         if call.unsent.is_none() {
@@ -293,11 +339,11 @@
 
     /// Gives the attempt another priority.
     pub fn weigh(&self, priority: u8) {
-        let Some(connection) = &self.connection else { return };
+        let Some(connection) = lock(&self.place).clone() else { return };
         let mut state = lock(&connection.state);
         let Some(call) = state.calls.get_mut(&*self.id.0) else { return };
         match &mut call.unsent {
-            Some((_, band, _)) => *band = Some(priority),
+            Some(unsent) => unsent.priority = Some(priority),
             None if call.result.is_none() => {
                 let _ = write!(state.out.buffer(), "weigh {} {priority}\r\n", self.id.0);
             }
@@ -315,18 +361,27 @@
 }
 
 impl State {
-    /// Writes the commands of all that waited for the connection.
+    /// Writes the commands of all that waited for the connection, once it has taken all that was written before; what is
+    /// moot by then ends instead. Guards against an attempt that begins behind a client's back, or behind its window.
     fn write_unsent(&mut self) {
         let now = Instant::now();
-        if self.calls.values().all(|call| call.unsent.is_none()) {
+        if self.out.waiting() > 0 || self.calls.values().all(|call| call.unsent.is_none()) {
             return;
         }
+        let moot = |call: &mut Call| call.unsent.as_ref().and_then(|unsent| unsent.moot(now));
+        let ended: Vec<(String, Ending)> =
+            self.calls.iter_mut().filter_map(|(id, call)| Some((id.clone(), moot(call)?))).collect();
+        for (id, ending) in ended {
+            if let Some(call) = self.calls.remove(&id) {
+                call.end(ending.into());
+            }
+        }
         if self.calls.values().all(|call| call.unsent.is_some()) {
             // Nothing was expected so far, so its silence means nothing.
             self.heard = now;
         }
         for (id, call) in &mut self.calls {
-            let Some((query, priority, due)) = call.unsent.take() else { continue };
+            let Some(Unsent { query, priority, due, .. }) = call.unsent.take() else { continue };
             call.begins = self.out.end();
             let budget = due.saturating_duration_since(now).as_millis().max(1);
             self.forwards.fetch_add(1, Ordering::Relaxed);
@@ -341,6 +396,14 @@
         }
     }
 
+    /// Whether a client whose request waits here may be about to call it off.
+    fn unheard(&self) -> bool {
+        self.calls
+            .values()
+            .filter_map(|call| call.unsent.as_ref())
+            .any(|unsent| unsent.query.client.unheard())
+    }
+
     /// Whether the connection's coroutine has something to do by now.
     fn look_over(&mut self, idle: Duration) -> bool {
         let silent = self.heard.elapsed();
@@ -405,8 +468,9 @@
     }
 
     /// The life of the connection.
-    fn run(self: Arc<Self>, lines: &Lines, engine: EngineId, address: SocketAddr) {
+    fn run(self: Arc<Self>, lines: &Arc<Lines>, engine: EngineId, address: SocketAddr) {
         let within = Duration::from_millis(lines.limits.dial_timeout_ms);
+        let mut socket = None;
         let ending = match TcpStream::connect_timeout(&address, within) {
             Ok(stream) => {
                 let _ = stream.set_nodelay(true);
@@ -414,11 +478,11 @@
                 let mut state = lock(&self.state);
                 state.phase = Phase::Up;
                 state.heard = Instant::now();
-                state.write_unsent();
                 drop(state);
-                self.carry(&stream)
+                self.carry(socket.insert(stream))
             }
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Ending::DialTimedOut,
+            Err(error) if own_fault(&error) => Ending::NotDialled,
             Err(_) => Ending::DialRefused,
         };
         lines.forget(engine, &self);
@@ -427,28 +491,45 @@
         let (written, calls) = (state.out.written(), std::mem::take(&mut state.calls));
         drop(state);
         tracing::debug!(engine = engine.0, ?ending, open = calls.len(), "connection over");
-        for (_, call) in calls {
+        let dialled = socket.is_some();
+        if let Some(stream) = &socket {
+            pass_over(stream.socket());
+        }
+        drop(socket);
+        for (id, mut call) in calls {
             // Guards the unsafe class: what was never begun on this connection has not run.
             let begun = call.unsent.is_none() && call.begins < written;
-            let dialled = !matches!(ending, Ending::DialRefused | Ending::DialTimedOut);
-            call.end(if dialled && !begun { Ending::NeverWritten } else { ending }.into());
+            match dialled {
+                false => call.end(ending.into()),
+                true if begun => call.end(ending.into()),
+                // The connection was closed while it rested: that tells nothing of the database.
+                true if call.unsent.is_some() && !call.moved => {
+                    call.moved = true;
+                    lines.place(engine, id, call);
+                }
+                true => call.end(Ending::NeverWritten.into()),
+            }
         }
     }
 
     /// Reads and writes until the connection ends.
     fn carry(&self, stream: &TcpStream) -> Ending {
         let mut input = Vec::new();
+        let (mut broken, mut hearings) = (false, 0);
         loop {
-            loop {
+            let mut reads = 0;
+            while reads < READS {
                 match fill(stream.socket(), &mut input) {
                     Ok(Filled::Some) => match self.take(&input) {
                         Ok(taken) => drop(input.drain(..taken)),
                         Err(ending) => return ending,
                     },
+                    Ok(Filled::Nothing) if broken => return Ending::Reset,
                     Ok(Filled::Nothing) => break,
                     Ok(Filled::Closed) => return Ending::Closed,
                     Err(_) => return Ending::Reset,
                 }
+                reads += 1;
             }
             let mut state = lock(&self.state);
             if let Some(ending) = state.close {
@@ -457,8 +538,19 @@
             if state.retired && state.calls.is_empty() && state.out.waiting() == 0 {
                 return Ending::Closed;
             }
-            if state.out.flush(stream.socket()).is_err() {
-                return Ending::Reset;
+            // An answer may have come whole just before the connection broke: it is read before all is given up.
+            broken = broken || state.out.flush(stream.socket()).is_err();
+            // Under load, what calls a request off may wait beside what sends it.
+            if !broken && hearings < HEARINGS && state.unheard() {
+                hearings += 1;
+                drop(state);
+                task::sleep(HEARING);
+                continue;
+            }
+            hearings = 0;
+            if !broken {
+                state.write_unsent();
+                broken = state.out.flush(stream.socket()).is_err();
             }
             if state.out.waiting() > MOST_WAITING {
                 return Ending::Silent;
@@ -467,7 +559,11 @@
             if input.is_empty() {
                 input = Vec::new();
             }
-            stream.wait_io();
+            if reads == READS {
+                task::sleep(PAUSE);
+            } else if !broken {
+                stream.wait_io();
+            }
         }
     }
 
@@ -488,6 +584,13 @@
     }
 }
 
+/// Whether a dial failed by a lack at the proxy's own side, which tells nothing of the database.
+fn own_fault(error: &std::io::Error) -> bool {
+    const LACKS: [i32; 6] =
+        [libc::EMFILE, libc::ENFILE, libc::ENOMEM, libc::ENOBUFS, libc::ENOSPC, libc::EADDRNOTAVAIL];
+    error.raw_os_error().is_some_and(|code| LACKS.contains(&code))
+}
+
 /// One answer, in the buffer that it was read into.
 struct Message<'a> {
     id: &'a str,
@@ -592,6 +695,7 @@
         let ending = match answer.word {
             "INFO" => {
                 if let Some(note) = answer.note() {
+                    call.runs |= matches!(note, Note::Done(share) if share > 0.0);
                     let _ = call.post.send(Letter::Back(call.attempt, News::Note(note)));
                 }
                 return Ok(());
@@ -637,7 +741,7 @@
                 Ending::Served
             }
             // Guards the unsafe class: what has begun to answer has run, whatever is said of it then.
-            "SHED" | "LATE" if call.result.is_some() => return Err(Ending::Garbled),
+            "SHED" | "LATE" if call.result.is_some() || call.runs => return Err(Ending::Garbled),
             "SHED" => Ending::Shed,
             "LATE" => Ending::Late,
             "FAULT" => Ending::Fault,
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -19,7 +19,10 @@
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Between tries to connect.
 const PAUSE: Duration = Duration::from_millis(200);
-/// The longest line of the stream.
+/// Reads before all others get their turn, and how long that lasts: a stream may never end.
+const READS: u64 = 16;
+const TURN: Duration = Duration::from_millis(1);
+/// The longest event of the stream.
 const LONGEST: usize = 4 * 1024 * 1024;
 
 /// The list of databases as the coordinator tells it.
@@ -212,6 +215,7 @@
     fn stream(&self, address: SocketAddr) -> io::Result<()> {
         let mut socket = TcpStream::connect_timeout(&address, CONNECT_WITHIN)?;
         socket.set_read_timeout(Some(SILENCE))?;
+        socket.set_nodelay(true)?;
         {
             let mut place = lock(&self.place);
             if place.address != Some(address) {
@@ -235,6 +239,8 @@
         let mut chunks = Chunks::default();
         let mut text = Vec::new();
         let mut event = Pending::default();
+        // Bytes of a line that is not whole in which its end was looked for.
+        let (mut looked, mut reads) = (0, 0u64);
         loop {
             if chunked {
                 if !chunks.take(&mut input, &mut text)? {
@@ -244,14 +250,20 @@
                 text.append(&mut input);
             }
             let mut at = 0;
-            while let Some(end) = text[at..].iter().position(|byte| *byte == b'\n') {
-                let line = &text[at..at + end];
+            while let Some(end) = text[at.max(looked)..].iter().position(|byte| *byte == b'\n') {
+                let end = at.max(looked) + end;
+                let line = &text[at..end];
                 event.line(line.strip_suffix(b"\r").unwrap_or(line), |id, data| self.told(id, data))?;
-                at += end + 1;
+                at = end + 1;
             }
             text.drain(..at);
-            if text.len() > LONGEST || input.len() > LONGEST {
-                return Err(io::Error::other("a line is too long"));
+            looked = text.len();
+            if text.len() + event.data.len() > LONGEST || input.len() > LONGEST {
+                return Err(io::Error::other("an event is too long"));
+            }
+            reads += 1;
+            if reads % READS == 0 {
+                task::sleep(TURN);
             }
             read(&mut socket, &mut input)?;
         }
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -20,6 +20,12 @@
     /// It was still waiting for its connection when its database left the list, or its connection closed before
     /// the first byte of it was written.
     NeverWritten,
+    /// The proxy itself could not dial: it has no descriptor or address left.
+    NotDialled,
+    /// Its client had left before the first byte of it was written.
+    ClientLeft,
+    /// The last moment at which it might be sent had passed before the first byte of it was written.
+    TooLate,
     /// The connection was reset.
     Reset,
     /// The database closed the connection.
@@ -43,6 +49,7 @@
             Ending::Shed | Ending::Late => Outcome::Full,
             Ending::Fault => Outcome::Errored,
             Ending::DialRefused | Ending::DialTimedOut | Ending::NeverWritten => Outcome::ConnectFailed,
+            Ending::NotDialled | Ending::ClientLeft | Ending::TooLate => Outcome::Moot,
             Ending::Reset | Ending::Closed | Ending::Silent | Ending::Garbled => Outcome::Reset,
             Ending::Cancelled => Outcome::Cancelled,
             Ending::Deadline => Outcome::TimedOut,
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -4,9 +4,10 @@
 //! session and wakes it; so the session sees at any time that its client has left.
 
 use std::collections::HashMap;
-use std::net::{Shutdown, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::fmt;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 use gaugestep::interface::{NewRequest, TablesId, TenantId};
@@ -16,8 +17,8 @@
 use super::{fields, message::Message};
 use crate::facade::{Letter, Mailbox, request_id};
 use crate::net::relay::{Gateway, Open, relay};
-use crate::net::stream::{Filled, Outbox, Stream as _, Waker, fill};
-use crate::net::{Answer, Post, Query, lock, task};
+use crate::net::stream::{Filled, Outbox, Stream as _, Waker, fill, left, pass_over, readable};
+use crate::net::{Answer, Client, Post, Query, lock, task};
 
 /// Milliseconds kept back from a client's time for the answer's way.
 const ANSWER_WAY: f64 = 5.0;
@@ -48,6 +49,10 @@
     leaving: AtomicU8,
     /// The longest message that a client may send.
     longest: usize,
+    /// Where clients connect, while it listens.
+    listener: Weak<CoIo<TcpListener>>,
+    /// Connections that were taken in and not yet read from.
+    fresh: AtomicUsize,
 }
 
 /// How a front takes leave of its sessions.
@@ -69,9 +74,19 @@
     /// The session is to make room for another.
     evicted: AtomicBool,
     standing: Mutex<Standing>,
+    /// Gone with the session.
+    stream: Weak<CoIo<TcpStream>>,
     waker: Waker,
 }
 
+impl Desk {
+    /// Whether a query runs or has come, whole or in part.
+    fn asks(&self) -> bool {
+        let Standing { phase, due, .. } = *lock(&self.standing);
+        phase != Phase::Idle || due.is_some() || self.stream.upgrade().is_some_and(|it| readable(it.socket()))
+    }
+}
+
 /// How a session looks from outside.
 #[derive(Clone, Copy)]
 struct Standing {
@@ -94,7 +109,7 @@
 
 impl Front {
     /// A front before the gateway; `seed` makes the sessions' keys hard to guess.
-    pub fn new(gateway: Arc<Gateway>, seed: u64, longest: usize) -> Self {
+    pub fn new(gateway: Arc<Gateway>, seed: u64, longest: usize, listener: &Arc<CoIo<TcpListener>>) -> Self {
         Front {
             gateway,
             sessions: Mutex::default(),
@@ -102,6 +117,8 @@
             seed,
             leaving: AtomicU8::new(Leave::Stay as u8),
             longest,
+            listener: Arc::downgrade(listener),
+            fresh: AtomicUsize::new(0),
         }
     }
 
@@ -152,16 +169,17 @@
         let mut out = Outbox::default();
         message::error(out.buffer(), true, "53300", "sorry, too many clients already");
         let _ = socket.set_nonblocking(true);
+        let _ = socket.set_nodelay(true);
         let _ = out.flush(socket);
         let _ = socket.shutdown(Shutdown::Write);
         // Closed with bytes unread it would be reset, and the error lost.
-        let _ = fill(socket, &mut Vec::new());
+        pass_over(socket);
     }
 
     /// Takes in a connection; the coroutine that runs it is started here.
     pub fn take_in(self: &Arc<Self>, socket: TcpStream) -> std::io::Result<()> {
         socket.set_nodelay(true)?;
-        let stream = CoIo::new(socket).map_err(std::io::Error::from)?;
+        let stream = Arc::new(CoIo::new(socket).map_err(std::io::Error::from)?);
         let process = self.next.fetch_add(1, Ordering::Relaxed);
         let secret = oorandom::Rand32::new(self.seed ^ (u64::from(process) << 32)).rand_u32();
         let began = Instant::now();
@@ -171,10 +189,12 @@
             cancelled: AtomicBool::new(false),
             evicted: AtomicBool::new(false),
             standing: Mutex::new(standing),
+            stream: Arc::downgrade(&stream),
             waker: stream.waker(),
         });
         lock(&self.sessions).insert(process, desk.clone());
         let front = self.clone();
+        self.fresh.fetch_add(1, Ordering::Relaxed);
         let spawned = task::spawn("session", move || {
             let mut session = Session {
                 front: &front,
@@ -188,40 +208,75 @@
                 moved: began,
                 read_at: 0.0,
                 encryptions: 0,
+                closed: false,
+                called_off: false,
                 state: State::Starting,
             };
             session.run();
-            if let State::Busy(running) = &session.state {
-                let _ = running.post.send(Letter::ClientGone);
-            }
+            session.leave_request();
+            pass_over(session.stream.socket());
             lock(&front.sessions).remove(&process);
         });
         if spawned.is_err() {
+            self.fresh.fetch_sub(1, Ordering::Relaxed);
             lock(&self.sessions).remove(&process);
         }
         spawned
     }
 
+    /// Whether a connection has come that nobody has read from: what it brings may call a query off.
+    fn unheard(&self) -> bool {
+        let listens = self.listener.upgrade().is_some_and(|listener| readable(listener.inner()));
+        listens || self.fresh.load(Ordering::Relaxed) > 0
+    }
+
     fn cancel(&self, process: u32, secret: u32) {
         let desk = lock(&self.sessions).get(&process).filter(|desk| desk.secret == secret).cloned();
-        if let Some(desk) = desk {
+        // One that finds no query, also none that is still to be read, holds for none that comes later.
+        if let Some(desk) = desk.filter(|desk| desk.asks()) {
             desk.cancelled.store(true, Ordering::Relaxed);
             desk.waker.wakeup();
         }
     }
 }
 
+/// The client of one request, as others may ask after it at any moment.
+struct Caller {
+    front: Arc<Front>,
+    desk: Arc<Desk>,
+    called_off: AtomicBool,
+}
+
+impl fmt::Debug for Caller {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Caller").field("called_off", &self.called_off).finish_non_exhaustive()
+    }
+}
+
+impl Client for Caller {
+    /// Guards against an attempt that begins behind its client's back: under load it takes its time until the session has
+    /// read that the client has left. A client that has closed its part of the connection has left, too: from here
+    /// nobody can tell it from one that has closed all of it.
+    fn gone(&self) -> bool {
+        let told = self.called_off.load(Ordering::Relaxed) || self.desk.cancelled.load(Ordering::Relaxed);
+        told || self.desk.stream.upgrade().is_none_or(|stream| left(stream.socket()))
+    }
+
+    fn unheard(&self) -> bool {
+        self.front.unheard()
+    }
+}
+
 enum State {
     Starting,
     Ready,
     /// After an error in the extended protocol: all is passed over until Sync.
     Skipping,
     Busy(Running),
-    /// Closed once all is written.
+    /// Closed once all is written: what the client still sends is passed over, as a connection closed with bytes unread is
+    /// reset, and what was written last is lost.
     Closing,
-    /// As `Closing`, but the client may still be sending: what it sends is passed over, so that it gets the error.
-    Failing,
-    /// The error is written; closed once the client has closed, or at this time.
+    /// All is written, and this side of the connection is closed; the other once the client has closed, or at this time.
     Leaving {
         until: Instant,
         at_last: Instant,
@@ -235,11 +290,12 @@
     /// The statement's first word, for the tag of its result.
     word: String,
     open: Open,
+    caller: Arc<Caller>,
 }
 
 struct Session<'a> {
     front: &'a Arc<Front>,
-    stream: CoIo<TcpStream>,
+    stream: Arc<CoIo<TcpStream>>,
     desk: Arc<Desk>,
     process: u32,
     input: Vec<u8>,
@@ -254,6 +310,10 @@
     read_at: f64,
     /// How often encryption was asked for.
     encryptions: u32,
+    /// The client sends nothing any more.
+    closed: bool,
+    /// The query that has come in part is called off already.
+    called_off: bool,
     state: State,
 }
 
@@ -261,12 +321,18 @@
     /// Runs until the connection is to be closed.
     fn run(&mut self) {
         let (mut answered, mut rounds) = (None, 0);
+        let mut fresh = true;
         loop {
-            let Ok(drained) = self.read() else { return };
+            let read = self.read();
+            if std::mem::take(&mut fresh) {
+                self.front.fresh.fetch_sub(1, Ordering::Relaxed);
+            }
+            let Ok(drained) = read else { return };
             answered = self.take_answer().or(answered);
             if self.desk.cancelled.swap(false, Ordering::Relaxed) {
                 self.cancelled();
             }
+            self.look_for_end();
             self.take_messages();
             self.look_at_clock();
             match self.out.flush(self.stream.socket()) {
@@ -276,15 +342,15 @@
             }
             if self.out.waiting() == 0 {
                 let done = answered.take().is_some();
-                let leaves =
-                    self.desk.evicted.load(Ordering::Relaxed) && !matches!(self.state, State::Busy(_));
+                if self.closed {
+                    return;
+                }
+                let evicted = self.desk.evicted.load(Ordering::Relaxed);
+                let leaves = evicted && !matches!(self.state, State::Busy(_) | State::Leaving { .. });
                 let takes_leave =
                     self.front.leaves(Leave::Idle) || done && self.front.leaves(Leave::Answered);
                 let ends = leaves || takes_leave && self.idle();
                 if matches!(self.state, State::Closing) || ends {
-                    return;
-                }
-                if matches!(self.state, State::Failing) {
                     let _ = self.stream.socket().shutdown(Shutdown::Write);
                     let now = Instant::now();
                     self.state = State::Leaving { until: now + LINGER, at_last: now + LEAVE_WITHIN };
@@ -312,7 +378,7 @@
         let starting = matches!(self.state, State::Starting);
         if evicted && starting {
             message::error(self.out.buffer(), true, "53300", "sorry, too many clients already");
-            self.state = State::Failing;
+            self.state = State::Closing;
         }
         let partial = starting || self.input.len() > self.at && self.can_take() && !self.whole_message();
         self.began = if partial { self.began.or(Some(Instant::now())) } else { None };
@@ -323,7 +389,7 @@
                 "57014",
                 "canceling: the client's message did not come in time",
             );
-            self.state = State::Failing;
+            self.state = State::Closing;
         }
     }
 
@@ -331,13 +397,15 @@
     fn stand(&self) -> Option<Standing> {
         let (phase, since) = match &self.state {
             State::Busy(_) => (Phase::Busy, self.moved),
-            State::Leaving { .. } | State::Starting | State::Closing | State::Failing => {
+            State::Leaving { .. } | State::Starting | State::Closing => {
                 (Phase::Silent, self.began.unwrap_or(self.moved))
             }
             State::Ready | State::Skipping => (Phase::Idle, self.moved),
         };
         let say = self.began.filter(|_| self.can_take()).map(|began| began + SAY_WITHIN);
         let due = match self.state {
+            // It makes room for another at once.
+            State::Leaving { .. } if self.desk.evicted.load(Ordering::Relaxed) => return None,
             State::Leaving { until, at_last } => Some(until.min(at_last)),
             _ if self.out.waiting() > 0 => Some(self.moved + READ_WITHIN),
             _ => say,
@@ -347,11 +415,11 @@
     }
 
     fn idle(&self) -> bool {
-        !matches!(self.state, State::Busy(_) | State::Starting) && self.input.len() == self.at
+        matches!(self.state, State::Ready | State::Skipping) && self.input.len() == self.at
     }
 
     fn can_take(&self) -> bool {
-        !matches!(self.state, State::Busy(_) | State::Closing | State::Failing | State::Leaving { .. })
+        !matches!(self.state, State::Busy(_) | State::Closing | State::Leaving { .. })
     }
 
     fn whole_message(&self) -> bool {
@@ -362,9 +430,10 @@
         }
     }
 
-    /// A client that sends ahead of its answers, or does not read them, has to wait.
+    /// A client that does not read its answers has to wait. One that sends on while its query runs is read on, so that it
+    /// is seen to leave.
     fn wants_more(&self) -> bool {
-        self.can_take() && self.out.waiting() == 0 || self.input.len() < READ_AHEAD
+        !self.closed && (self.can_take() && self.out.waiting() == 0 || self.input.len() < READ_AHEAD)
     }
 
     /// Reads what has come, up to a whole message; true if there was nothing more, an error if the client has gone.
@@ -376,7 +445,11 @@
             match fill(self.stream.socket(), &mut self.input) {
                 Ok(Filled::Some) => self.read_at = self.front.gateway.facade.now(),
                 Ok(Filled::Nothing) => return Ok(true),
-                Ok(Filled::Closed) | Err(_) => return Err(()),
+                Ok(Filled::Closed) => {
+                    self.closed = true;
+                    return Ok(true);
+                }
+                Err(_) => return Err(()),
             }
             if let State::Leaving { until, .. } = &mut self.state {
                 *until = Instant::now() + LINGER;
@@ -410,12 +483,51 @@
         }
     }
 
-    /// The client has asked to have its query called off.
+    /// The client has asked to have its query called off: the one that runs, or one that has come and was not looked at.
     fn cancelled(&mut self) {
-        if let State::Busy(running) = std::mem::replace(&mut self.state, State::Ready) {
-            let _ = running.post.send(Letter::ClientGone);
+        if self.leave_request() {
             message::error(self.out.buffer(), false, "57014", "canceling statement due to user request");
             message::ready(self.out.buffer());
+        } else if self.can_take() {
+            self.called_off = self.input.len() > self.at;
+        }
+    }
+
+    /// Tells the request that runs, if any, that nobody waits for it any more.
+    fn leave_request(&mut self) -> bool {
+        match std::mem::replace(&mut self.state, State::Ready) {
+            State::Busy(running) => {
+                running.caller.called_off.store(true, Ordering::Relaxed);
+                let _ = running.post.send(Letter::ClientGone);
+                true
+            }
+            state => {
+                self.state = state;
+                false
+            }
+        }
+    }
+
+    /// Looks whether the client has left: closed its side, said good-bye while its query runs, or sent so much ahead of the
+    /// answer that it could not be seen to leave. Its query is over then, and nothing that it sent ahead is begun.
+    fn look_for_end(&mut self) {
+        let input = &self.input[self.at..];
+        let busy = matches!(self.state, State::Busy(_));
+        let (code, text) = if self.closed {
+            ("57014", "canceling: the client has closed its side of the connection")
+        } else if busy && input.first() == Some(&b'X') {
+            ("57014", "canceling: the client has taken its leave")
+        } else if busy && input.len() >= READ_AHEAD {
+            ("54000", "too much was sent ahead of an answer")
+        } else {
+            return;
+        };
+        if self.leave_request() {
+            message::error(self.out.buffer(), true, code, text);
+        }
+        if self.closed || busy {
+            self.at = self.input.len();
+            self.state = State::Closing;
         }
     }
 
@@ -436,11 +548,11 @@
                 Ok(taken) => self.at += taken,
                 Err((code, text)) => {
                     message::error(self.out.buffer(), true, code, text);
-                    self.state = State::Failing;
+                    self.state = State::Closing;
                 }
             }
         }
-        if matches!(self.state, State::Failing) {
+        if matches!(self.state, State::Closing) {
             self.at = self.input.len();
         }
         self.input.drain(..self.at);
@@ -514,7 +626,17 @@
             message::ready(out);
             return Ok(());
         }
-        let query = match self.front.read_query(text, self.read_at) {
+        if std::mem::take(&mut self.called_off) {
+            message::error(out, false, "57014", "canceling statement due to user request");
+            message::ready(out);
+            return Ok(());
+        }
+        let caller = Arc::new(Caller {
+            front: self.front.clone(),
+            desk: self.desk.clone(),
+            called_off: AtomicBool::new(false),
+        });
+        let query = match self.front.read_query(text, self.read_at, caller.clone()) {
             Ok(query) => query,
             Err((code, text)) => {
                 message::error(out, false, code, &text);
@@ -534,7 +656,7 @@
             });
         });
         match spawned {
-            Ok(()) => self.state = State::Busy(Running { post, answer, word, open }),
+            Ok(()) => self.state = State::Busy(Running { post, answer, word, open, caller }),
             Err(_) => {
                 message::error(out, false, "53200", "out of memory");
                 message::ready(out);
@@ -546,7 +668,12 @@
 
 impl Front {
     /// The request that a query's text holds, or code and text of what is wrong with it.
-    fn read_query(&self, text: &[u8], read_at: f64) -> Result<Query, (&'static str, String)> {
+    fn read_query(
+        &self,
+        text: &[u8],
+        read_at: f64,
+        client: Arc<dyn Client>,
+    ) -> Result<Query, (&'static str, String)> {
         let (gateway, book) = (&self.gateway, self.gateway.classes.book());
         let (fields, statement) = fields::split(text).map_err(|text| ("42601", text))?;
         let class = book
@@ -572,6 +699,6 @@
             tables: TablesId(fields::table_group(statement).unwrap_or(0)),
             key: None,
         };
-        Ok(Query { new, class: class.clone(), statement: statement.to_vec() })
+        Ok(Query { new, class: class.clone(), statement: statement.to_vec(), client })
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 
 pub use gaugestep_coio::{lock, stream, task};
 
+use std::fmt::Debug;
 use std::sync::Arc;
 
 use gaugestep::interface::{Cost, LoadReport, NewRequest, Note, Refusal};
@@ -23,6 +24,15 @@
 use classes::Class;
 use ending::Ending;
 
+/// Who waits for a request's answer, as can be asked at any moment.
+pub trait Client: Debug + Send + Sync {
+    /// Whether it has closed its connection or called the request off, also if nobody else has noticed yet.
+    fn gone(&self) -> bool;
+
+    /// Whether something has come from outside that is still to be heard and may be what calls the request off.
+    fn unheard(&self) -> bool;
+}
+
 /// A client's request, whatever front it came through.
 #[derive(Clone, Debug)]
 pub struct Query {
@@ -32,6 +42,8 @@
     pub class: Arc<Class>,
     /// The statement, byte for byte.
     pub statement: Vec<u8>,
+    /// Who waits for its answer.
+    pub client: Arc<dyn Client>,
 }
 
 /// A whole result: pages of rows, in order. A tab parts the columns of a row, a line feed ends it.
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -95,6 +95,9 @@
     fn attempt(&mut self, sending: Sending) -> Step {
         let facade = &self.gateway.facade;
         let id = &self.query.new.id;
+        if self.query.client.gone() {
+            return self.left(sending);
+        }
         let left = Duration::from_secs_f64((self.query.new.due - facade.now()).max(0.0) / 1e3);
         let handle = self.gateway.lines.send(sending, self.query, left, self.mailbox.address());
         let give_up = |ending: Ending| {
@@ -133,12 +136,24 @@
             ?ending,
             "ended"
         );
-        if ending == Ending::Served {
-            self.served(pages);
+        match ending {
+            Ending::Served => self.served(pages),
+            Ending::ClientLeft => return self.left(sending),
+            _ => {}
         }
         facade.report(id, AttemptReport { outcome: ending.outcome(), cost, load }, self.mailbox)
     }
 
+    /// Ends an attempt that was not made, as its client has left before.
+    fn left(&mut self, sending: Sending) -> Step {
+        let (facade, id) = (&self.gateway.facade, &self.query.new.id);
+        tracing::debug!(id = &*id.0, attempt = sending.attempt.0, "the client left before it was sent");
+        self.answer = None;
+        facade.client_gone(id);
+        let outcome = Ending::ClientLeft.outcome();
+        facade.report(id, AttemptReport { outcome, cost: None, load: None }, self.mailbox)
+    }
+
     fn served(&mut self, pages: Pages) {
         self.answer(Answer::Served(pages));
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -27,12 +27,18 @@
 const STILL_COMING: Duration = Duration::from_millis(850);
 /// Between looks at what is still open.
 const LOOK: Duration = Duration::from_millis(10);
+/// Sessions beyond their number for the moment in which those that make room close.
+const MAKING_ROOM: usize = 8;
 /// Connections taken in before their sessions get a turn.
 const ACCEPTS: usize = 16;
 /// That turn.
 const TURN: Duration = Duration::from_millis(1);
 /// Time for the last bytes to leave.
 const LAST_BYTES: Duration = Duration::from_millis(50);
+/// Behind the last answers, for clients that read slowly or are slow to close: all ends before SIGKILL.
+const LAST_CLOSES: Duration = Duration::from_millis(200);
+/// Between two log lines about connections that cannot be accepted.
+const COMPLAIN_EVERY: Duration = Duration::from_secs(5);
 /// How often sessions look at their clocks.
 const SESSION_SWEEP: Duration = Duration::from_millis(250);
 /// The part of the memory that the messages of all sessions may take; each may be so many bytes long at the least.
@@ -111,8 +117,9 @@
         let roster = Arc::new(Roster::new(gateway.clone(), config.coordinator, spread));
         roster.know(config.known_index, &config.known);
         let versioned = Versioned::start(gateway.clone(), roster.clone(), told, set_log);
-        let front = Arc::new(Front::new(gateway.clone(), config.seed, longest));
         let listener = CoIo::new(listener).map_err(|error| io::Error::from(error).to_string())?;
+        let listener = Arc::new(listener);
+        let front = Arc::new(Front::new(gateway.clone(), config.seed, longest, &listener));
         let server = Server {
             gateway: gateway.clone(),
             front: front.clone(),
@@ -272,7 +279,11 @@
             self.stop_accepting();
         }
         self.front.leave(Leave::Idle);
-        while self.gateway.open.load(Ordering::Relaxed) > 0 {
+        // A session counts until its client has closed, too, or is given up: a close under what is still to be read or to
+        // be written would reset the connection.
+        let last = Duration::from_secs_f64(self.last_answers / 1e3) + LAST_CLOSES;
+        while self.gateway.open.load(Ordering::Relaxed) + self.front.sessions() > 0 && began.elapsed() < last
+        {
             std::thread::sleep(LOOK);
         }
         std::thread::sleep(LAST_BYTES);
@@ -313,11 +324,15 @@
 
 fn accept(listener: &CoIo<TcpListener>, front: &Arc<Front>, stop: &AtomicBool, most: usize) {
     let mut accepted = 0;
-    while !stop.load(Ordering::Relaxed) {
+    let mut complained: Option<Instant> = None;
+    loop {
         match listener.inner().accept() {
             Ok((socket, _)) => {
-                // A session that makes room has gone before the next few are taken in, which the reserve bears.
-                if front.sessions() >= most && !front.make_room() {
+                // A session that makes room has gone before the next few are taken in, which the reserve bears. Guards the
+                // way to the coordinator and to databases: no flood of connections takes a descriptor beyond that.
+                let sessions = front.sessions();
+                let full = sessions >= most && !front.make_room() || sessions >= most + MAKING_ROOM;
+                if full {
                     front.turn_away(&socket);
                 } else if let Err(error) = front.take_in(socket) {
                     tracing::debug!("a connection could not be taken in: {error}");
@@ -327,11 +342,20 @@
                     task::sleep(TURN);
                 }
             }
+            // Whoever has connected by then is told by a session that the proxy shuts down, and not reset.
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
                 listener.wait_io();
             }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(_) if stop.load(Ordering::Relaxed) => return,
             Err(error) => {
-                tracing::warn!("cannot accept: {error}");
+                if complained.is_none_or(|at| at.elapsed() >= COMPLAIN_EVERY) {
+                    complained = Some(Instant::now());
+                    tracing::warn!("cannot accept: {error}");
+                }
                 task::sleep(LOOK);
             }
         }
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::interface::{EngineId, Millis, NewRequest, Outcome, RequestId};
+use crate::interface::{Effect, EngineId, Millis, NewRequest, Outcome, RequestId};
 
 /// One attempt of a request.
 pub struct Attempt {
@@ -46,6 +46,19 @@
         self.attempts.iter().any(|attempt| !attempt.ended.is_some_and(Outcome::never_ran))
     }
 
+    /// Until when one more attempt may follow the first `count`: engines that drop repeats do so for a while only, from the
+    /// first attempt on that may have run.
+    pub fn repeat_until(&self, effect: Effect, count: usize) -> Millis {
+        let lasts = match effect {
+            Effect::Safe => f64::INFINITY,
+            Effect::Keyed(_, window) => window,
+            Effect::Unsafe => f64::NEG_INFINITY,
+        };
+        let ran = |attempt: &&Attempt| !attempt.ended.is_some_and(Outcome::never_ran);
+        let ran = self.attempts.iter().take(count).filter(ran);
+        ran.map(|attempt| attempt.sent + lasts).fold(f64::INFINITY, f64::min)
+    }
+
     /// Whether an attempt before this one was cut, which makes it the rerun.
     pub fn cut_before(&self, attempt: usize) -> bool {
         self.attempts.iter().take(attempt).any(|attempt| attempt.cut)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -365,7 +365,8 @@
         if request.finished {
             return None;
         }
-        let lost = request.attempts.iter().all(|at| at.ended.is_some()) && self.too_late(request);
+        let past = self.now >= self.repeat_until(request, request.attempts.len());
+        let lost = request.live().next().is_none() && (self.too_late(request) || past);
         if self.now >= self.answer_by(request) || lost || self.hopeless_run(request) {
             return Some(Due::Answer);
         }
@@ -413,15 +414,23 @@
         }
         let copies = self.settings.second_copies && request.live().all(|(_, attempt)| attempt.cut);
         let alone = request.live().next().is_none() || after_cancel || copies;
-        let repeatable = match self.settings.classes[request.new.class.0].effect {
-            Effect::Safe | Effect::Keyed(..) => true,
-            Effect::Unsafe => !request.may_have_run(),
-        };
+        let repeatable = self.now < self.repeat_until(request, tried);
         // What fails on several engines fails by itself: more tries would only take the ration.
         let failed = request.attempts.iter().filter(|at| at.ended == Some(Outcome::Errored)).count();
         failed < ERRORS_OUT && tried < request.most && alone && repeatable && self.budget_left()
     }
 
+    /// Until when one more attempt may follow the request's first `count`, by its effect.
+    fn repeat_until(&self, request: &Request, count: usize) -> Millis {
+        request.repeat_until(self.settings.classes[request.new.class.0].effect, count) - TICK
+    }
+
+    /// Until when the request's newest attempt may leave.
+    pub fn sendable_until(&self, id: &RequestId) -> Millis {
+        let of = |request: &Request| self.repeat_until(request, request.attempts.len().saturating_sub(1));
+        self.requests.get(id).map_or(f64::INFINITY, of)
+    }
+
     /// Whether the budget has room for one further attempt in the window that ends now.
     fn budget_left(&self) -> bool {
         let Some(budget) = self.settings.budget else { return true };
@@ -883,19 +892,15 @@
         let entry = &engine.entry;
         let zone = told.zones.as_ref().is_none_or(|zones| zones.contains(&entry.zone));
         let machine = told.machines.as_ref().is_none_or(|machines| machines.contains(&entry.machine));
-        let effect = match told.effect {
-            Effect::Safe | Effect::Unsafe => true,
-            Effect::Keyed(group, window) => request.attempts.iter().all(|attempt| {
-                let there = self.engines.get(&attempt.engine).map(|engine| engine.entry);
-                let same = match group {
-                    DedupGroup::All => true,
-                    DedupGroup::Zone => there.is_some_and(|there| there.zone == entry.zone),
-                    DedupGroup::Cell => there.is_some_and(|there| there.cell == entry.cell),
-                };
-                let known = same && self.now - attempt.sent < window - TICK;
-                known || attempt.ended.is_some_and(Outcome::never_ran)
-            }),
-        };
+        let effect = request.attempts.iter().all(|attempt| {
+            let there = self.engines.get(&attempt.engine).map(|engine| engine.entry);
+            let same = match told.effect {
+                Effect::Keyed(DedupGroup::Zone, _) => there.is_some_and(|there| there.zone == entry.zone),
+                Effect::Keyed(DedupGroup::Cell, _) => there.is_some_and(|there| there.cell == entry.cell),
+                Effect::Keyed(DedupGroup::All, _) | Effect::Safe | Effect::Unsafe => true,
+            };
+            same || attempt.ended.is_some_and(Outcome::never_ran)
+        });
         zone && machine && effect && self.settings.weight(&request.new, entry.engine) > 0.0
     }
 
