Where engines tell nothing, take other proxies to hold as much as this one does

Cause: `others` (rules.rs) knows of other proxies' queries from engines' reports alone. Without any, each of six proxies fills every engine by itself up to 1.3 threads a core and more, six times what it bears; as called-off work runs on and clients come again, it never recovers.

Change: where no engine has ever reported, what all hold is estimated from one's own: by the engine in the middle, so that a pile at an engine that hangs says nothing of the others, less a standard deviation, over 1.5 s, and for each engine drawn towards one's own count there (stats.rs: held_by_all, unseen).

--- a/src/requests.rs
+++ b/src/requests.rs
@@ -1,8 +1,9 @@
-//! What is remembered of a request and its attempts; nothing is decided here.
+//! What is remembered of requests, their attempts and their classes; nothing is decided here.
 
 use std::collections::VecDeque;
 
 use crate::interface::{Effect, EngineId, Millis, NewRequest, Outcome, RequestId};
+use crate::stats::{Log, LogMean, Mean};
 
 /// One attempt of a request.
 pub struct Attempt {
@@ -71,3 +72,26 @@
     pub queue: VecDeque<RequestId>,
     pub rests_until: Millis,
 }
+
+/// What is known of one class.
+#[derive(Default)]
+pub struct Class {
+    /// Recent first runs: bin, and whether it ran to its end.
+    pub runs: VecDeque<(usize, bool)>,
+    /// Times of reruns.
+    pub reruns: Mean,
+    /// Past this a first run is cut; none where nothing is.
+    pub tau: Option<f64>,
+    /// Mean rerun, in the histogram's unit.
+    pub rerun: f64,
+    /// True over estimated work, and true work over `UNKNOWN_WORK`.
+    pub bias: LogMean,
+    /// See `bias`.
+    pub learned: LogMean,
+    /// Run time over true work per thread.
+    pub stretch: LogMean,
+    /// Needed over estimated memory.
+    pub memory: Log,
+    /// The work of its requests.
+    pub work: Mean,
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,8 +12,8 @@
 use gaugestep_seats::turn::{Allowance, Budget, spread};
 
 use crate::interface::*;
-use crate::requests::{Attempt, KeyLine, Request};
-use crate::stats::{BINS, Held, Log, LogMean, Mean, bin_of, product_limit, remember, since};
+use crate::requests::{Attempt, Class, KeyLine, Request};
+use crate::stats::{BINS, Held, Level, Mean, bin_of, held_by_all, product_limit, remember, since, unseen};
 
 /// ms that a timer or an outcome may come late; half the usual slack for answers.
 const TICK: Millis = 10.0;
@@ -99,25 +99,6 @@
     Cut(usize),
 }
 
-/// What is known of one class.
-#[derive(Default)]
-struct Class {
-    /// Recent first runs: bin, and whether it ran to its end.
-    runs: VecDeque<(usize, bool)>,
-    reruns: Mean,
-    tau: Option<f64>,
-    /// Mean rerun, in the histogram's unit.
-    rerun: f64,
-    /// True over estimated work, and true work over `UNKNOWN_WORK`.
-    bias: LogMean,
-    learned: LogMean,
-    /// Run time over true work per thread.
-    stretch: LogMean,
-    /// Needed over estimated memory.
-    memory: Log,
-    work: Mean,
-}
-
 #[derive(Default)]
 struct Engine {
     entry: EngineEntry,
@@ -160,7 +141,7 @@
     /// Its place by a roster, and until when.
     seated: (Place, Millis),
     /// Other dispatchers' queries for each core, and the blame of an engine, on the fleet's average.
-    crowd: f64,
+    crowd: Level,
     blame: f64,
     /// When the earliest timer is due.
     wakes_at: Millis,
@@ -191,7 +172,7 @@
             subset: Subset::default(),
             own: (Vec::new(), 0.0),
             seated: (settings.place, 0.0),
-            crowd: 0.0,
+            crowd: Level::default(),
             blame: 0.0,
             wakes_at: f64::INFINITY,
             unserved: 0,
@@ -763,14 +744,22 @@
         }
         let blame = self.engines.values().map(|it| it.blame.shrunk(self.now, ENGINE_HORIZON)).sum::<f64>();
         self.blame = blame / self.engines.len().max(1) as f64;
-        let (mut held, mut cores) = (0.0, 0.0);
+        let (mut held, mut cores, mut own) = (0.0, 0.0, Vec::new());
         for engine in self.engines.values().filter(|engine| self.healthy(engine)) {
             let (size, news) = (self.machine(engine).cores, self.news(engine));
             // As if one engine had just been seen idle: without news, sends are tried again and bring some.
             cores += size * news + if cores == 0.0 { size } else { 0.0 };
             held += engine.others.value.max(0.0) * news;
+            own.push((engine.held.queries, size));
+        }
+        // Where no engine tells of its load, other dispatchers are taken to do as this one does.
+        match self.heard.is_empty() {
+            true => {
+                let all = held_by_all(&mut own, self.settings.dispatchers);
+                self.crowd.follow(all, self.now, ENGINE_HORIZON);
+            }
+            false => self.crowd.value = if cores > 0.0 { held / cores } else { 0.0 },
         }
-        self.crowd = if cores > 0.0 { held / cores } else { 0.0 };
     }
 
     /// What an engine's reports still tell, from 0 to 1.
@@ -780,8 +769,11 @@
 
     /// Queries of other dispatchers on an engine: its reports, drawn to the fleet's mean as they grow old.
     fn others(&self, engine: &Engine) -> f64 {
-        let mean = self.crowd * self.machine(engine).cores * self.warmth(engine);
-        (mean + (engine.others.value - mean) * self.news(engine)).max(0.0)
+        let mean = self.crowd.value * self.machine(engine).cores * self.warmth(engine);
+        match self.heard.is_empty() {
+            true => unseen(engine.held.queries, mean, self.settings.dispatchers),
+            false => (mean + (engine.others.value - mean) * self.news(engine)).max(0.0),
+        }
     }
 
     /// What one run of the request takes up; memory with its margin.
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -149,3 +149,46 @@
         self.memory += other.memory * times;
     }
 }
+
+/// So many of one's own queries at an engine tell as much of it as what is known of all engines together.
+const PRIOR_QUERIES: f64 = 4.0;
+
+/// How many queries other dispatchers hold at an engine that tells nothing, with `dispatchers` in all: from one's own there and
+/// from what all hold on average at an engine of its size. The mean of a Gamma prior, drawn to one's own count as to a Poisson
+/// sample of an even part.
+pub fn unseen(own: f64, average: f64, dispatchers: usize) -> f64 {
+    if average <= 0.0 || dispatchers <= 1 {
+        return 0.0;
+    }
+    let all = (PRIOR_QUERIES + own) / (PRIOR_QUERIES / average + 1.0 / dispatchers as f64);
+    (all - own).max(0.0)
+}
+
+/// What all of so many dispatchers hold at engines that tell nothing, for each of their cores, from one's own queries at each and
+/// its cores. By the engine in the middle, as what piles up at some that hang says nothing of the others; less a standard
+/// deviation, as few queries tell little of a fleet.
+pub fn held_by_all(own: &mut [(f64, f64)], dispatchers: usize) -> f64 {
+    own.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
+    let (queries, cores) =
+        own.iter().fold((0.0, 0.0), |sum, (queries, cores)| (sum.0 + queries, sum.1 + cores));
+    let Some((middle, size)) = own.get(own.len() / 2) else { return 0.0 };
+    // Of small numbers most are 0.
+    let count = if *middle > 0.0 { middle / size * cores } else { queries };
+    (count - count.sqrt()).max(0.0) / cores * dispatchers as f64
+}
+
+/// A figure that follows its samples over a horizon of time.
+#[derive(Clone, Copy, Default)]
+pub struct Level {
+    /// The figure.
+    pub value: f64,
+    at: Millis,
+}
+
+impl Level {
+    /// Follows a sample by the time since the last one.
+    pub fn follow(&mut self, sample: f64, now: Millis, horizon: Millis) {
+        self.value += (sample - self.value) * (1.0 - (-(now - self.at).max(0.0) / horizon).exp());
+        self.at = now;
+    }
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -733,3 +733,45 @@
     // In 3.1 s the budget gathers 162 ms at first and 335 ms more: some nine requests of 50 ms.
     assert!((5..=10 - lot_won).contains(&light), "{light} light requests, {lot_won} heavy ones");
 }
+
+/// Engines that tell nothing of their load: four dispatchers that each fill them by what they sent themselves would put four
+/// times as much there as they bear, which where nothing can be called off lasts for as long as clients come again.
+#[test]
+fn dispatchers_of_engines_that_tell_nothing_leave_room_for_each_other() {
+    let mut settings = settings(vec![class(Effect::Safe, 1.0)]);
+    settings.dispatchers = 4;
+    let mut at_engine = [0; 6];
+    for seed in 0..4 {
+        let mut desk = Desk { dispatcher: Dispatcher::new(settings.clone(), seed).unwrap(), now: 0.0 };
+        desk.tell(Event::EngineList((0..6).map(entry).collect()));
+        for number in 0..60 {
+            let sent = desk.arrive(request(number, 0, 60_000.0));
+            desk.now += 100.0;
+            sends(&sent).iter().for_each(|engine| at_engine[engine.0 as usize] += 1);
+        }
+    }
+    // 8 cores, 1.3 threads for each: 10 at an engine, up to twice as many for what is urgent, and a few as one's own tell little
+    // at first; 40 where each counts its own alone.
+    assert!(at_engine.iter().all(|sent| (8..=26).contains(sent)), "{at_engine:?}");
+}
+
+/// What piles up at an engine that hangs says nothing of the others.
+#[test]
+fn a_pile_at_one_engine_that_tells_nothing_leaves_the_others_in_use() {
+    let mut settings = settings(vec![class(Effect::Safe, 1.0)]);
+    settings.dispatchers = 4;
+    let mut desk = Desk::new(settings, 6);
+    let mut sent = Vec::new();
+    for number in 0..300 {
+        desk.now += 20.0;
+        for engine in sends(&desk.arrive(request(number, 0, desk.now + 60_000.0))) {
+            // All but the first answer at once.
+            if engine.0 > 0 {
+                desk.end(number, 0, engine, Outcome::Served, 10.0);
+            }
+            sent.push(engine.0);
+        }
+    }
+    let others = sent.iter().filter(|engine| **engine > 0).count();
+    assert!(others > 250, "{others} of {} to the others", sent.len());
+}
