Read no client without end, and let go of what is written to a slow reader

Cause: `Session::wants_more` (net/front/pg.rs) reads on while nothing waits to be written, 8 KB a round against 16 messages that are dealt with, and the system takes answers for long. Found on reading `Outbox::flush` (coio) with the same question: what is written was let go of only once nothing waited, so a peer that reads slowly but steadily had all of it kept.

Change: 64 KB are read ahead, and the rest of a message that is longer; written bytes go once they are 64 KB and outweigh what waits.

No bound was changed.

--- a/crates/coio/src/stream.rs
+++ b/crates/coio/src/stream.rs
@@ -97,6 +97,9 @@
     }
 }
 
+/// Bytes that are written and still kept at most, where no fewer wait.
+const WRITTEN: usize = 64 * 1024;
+
 /// Bytes on their way out.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -146,6 +149,11 @@
             self.at = 0;
             // Guards the memory: hundreds of connections are idle most of the time.
             self.bytes = Vec::new();
+        } else if self.at >= WRITTEN && self.at >= self.waiting() {
+            // So it does where the other side reads so slowly that something waits at all times.
+            self.bytes.drain(..self.at);
+            self.earlier += self.at as u64;
+            self.at = 0;
         }
         Ok(moved)
     }
--- a/src/net/front/pg.rs
+++ b/src/net/front/pg.rs
@@ -430,10 +430,11 @@
         }
     }
 
-    /// A client that does not read its answers has to wait. One that sends on while its query runs is read on, so that it
-    /// is seen to leave.
+    /// A client that does not read its answers, or sends faster than it is answered, has to wait: so much is read ahead and
+    /// the rest of a long message, and no more. Within that a client whose query runs is read on, so that it is seen to leave.
     fn wants_more(&self) -> bool {
-        !self.closed && (self.can_take() && self.out.waiting() == 0 || self.input.len() < READ_AHEAD)
+        let long = || self.can_take() && self.out.waiting() == 0 && !self.whole_message();
+        !self.closed && (self.input.len() < READ_AHEAD || long())
     }
 
     /// Reads what has come, up to a whole message; true if there was nothing more, an error if the client has gone.
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -232,6 +232,13 @@
         self.signal("-HUP");
     }
 
+    /// Puts one text in place of another in its configuration, for its next start.
+    pub fn rewrite(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        assert!(text.contains(from));
+        std::fs::write(&self.config, text.replace(from, to)).unwrap();
+    }
+
     /// Has it read its configuration with one text in place of another, and waits until it has counted that.
     pub fn retune(&self, from: &str, to: &str, figure: &str) {
         let text = std::fs::read_to_string(&self.config).unwrap();
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -564,6 +564,22 @@
     drop(idle);
 }
 
+/// A client asks on and on, faster than it is answered, and reads nothing: little of it is read ahead, and others are served.
+#[test]
+fn a_client_that_asks_without_end_is_not_read_without_end() {
+    let database = Database::new();
+    let proxy = Proxy::start(&[&database]);
+    let mut flood = proxy.client();
+    flood.socket.set_write_timeout(Some(Duration::from_secs(2))).unwrap();
+    let many = b"Q\0\0\0\x05\0".repeat(10_000);
+    // It fails once the system takes no more, as the proxy does not.
+    let all = (0..500).all(|_| flood.socket.write_all(&many).is_ok());
+    let held: usize = proxy.status("VmRSS:").trim_end_matches(" kB").parse().unwrap();
+    assert!(held < 25_000, "{held} KB are held, all of 30 MB was taken: {all}");
+    let mut lines = warm(&proxy, &database, 1);
+    marked(&proxy, &mut lines);
+}
+
 /// A database that never stops sending, and a list that never ends, do not keep others from being served.
 #[test]
 fn endless_answers_and_an_endless_list_leave_others_served() {
@@ -594,21 +610,23 @@
 
 // Starts.
 
-/// All proxies restart together while discovery hangs: each is ready as soon as it runs.
+/// All proxies restart together while discovery hangs, or refuses: each is ready as soon as it runs.
 #[test]
-fn restarted_proxies_are_ready_though_discovery_hangs() {
+fn restarted_proxies_are_ready_though_discovery_hangs_or_refuses() {
     let (database, (hangs, _first)) = (Database::new(), Database::narrow());
-    let at = hangs.0.local_addr().unwrap();
-    let change =
-        |text: String| text.replace(r#""seed":"8c1f""#, &format!(r#""seed":"8c1f","coordinator":"{at}""#));
-    let launch = || Launch { change: &change, ..Launch::new(&[&database]) }.start();
-    let mut proxies: Vec<Proxy> = (0..10).map(|_| launch()).collect();
-    proxies.iter_mut().for_each(Proxy::kill);
-    let began = Instant::now();
-    std::thread::scope(|scope| {
-        for proxy in &mut proxies {
-            scope.spawn(|| proxy.restart());
-        }
-    });
-    assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+    for at in [hangs.0.local_addr().unwrap(), free_address()] {
+        let change = |text: String| {
+            text.replace(r#""seed":"8c1f""#, &format!(r#""seed":"8c1f","coordinator":"{at}""#))
+        };
+        let launch = || Launch { change: &change, ..Launch::new(&[&database]) }.start();
+        let mut proxies: Vec<Proxy> = (0..10).map(|_| launch()).collect();
+        proxies.iter_mut().for_each(Proxy::kill);
+        let began = Instant::now();
+        std::thread::scope(|scope| {
+            for proxy in &mut proxies {
+                scope.spawn(|| proxy.restart());
+            }
+        });
+        assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+    }
 }
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -22,6 +22,8 @@
 use proxy::{Client, Launch, Proxy};
 
 const PROXIES: u64 = 20;
+/// Held by the test that runs: twenty or thirty proxies and their clients want the machine alone.
+static ALONE: Mutex<()> = Mutex::new(());
 /// As the settings below have it.
 const RULE: Rule = Rule { cores: 8.0, share: 0.3, warm_within: 8_000.0, multiple: 2.5, span: 1_000.0 };
 
@@ -46,10 +48,13 @@
     answers: Answers,
     ends: Arc<AtomicBool>,
     clients: Vec<JoinHandle<()>>,
+    /// Dropped last.
+    _alone: MutexGuard<'static, ()>,
 }
 
 impl Crowd {
     fn start(engines: usize) -> Self {
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let records = Records::default();
         let engines: Vec<Engine> =
             (0..engines).map(|at| Engine::start(&format!("s-{at}"), 1.0, &records).unwrap()).collect();
@@ -62,6 +67,7 @@
             answers: Arc::default(),
             ends: Arc::default(),
             clients: Vec::new(),
+            _alone: alone,
         }
     }
 
@@ -195,7 +201,16 @@
         match at {
             1 => [4, 5].iter().for_each(|it| crowd.proxies[*it].pause()),
             2 => [8, 9, 10, 12].iter().for_each(|it| crowd.proxies[*it].kill()),
-            3 => [8, 9, 10, 12].iter().for_each(|it| crowd.proxies[*it].restart()),
+            3 => {
+                for it in [8, 9, 10, 12] {
+                    // A platform has them start with what the coordinator has told so far.
+                    for engine in &crowd.engines[..=at] {
+                        let (before, now) = (engine.entry("SERVING", 0), engine.entry("DRAINING", 0));
+                        crowd.proxies[it].rewrite(&before, &now);
+                    }
+                    crowd.proxies[it].restart();
+                }
+            }
             _ => {}
         }
         crowd.pass(150);
