--- a/src/facade.rs
+++ b/src/facade.rs
@@ -499,7 +499,7 @@
 }
 
 /// A time that lasts so long, or none.
-fn milliseconds(time: Millis) -> Duration {
+pub fn milliseconds(time: Millis) -> Duration {
     Duration::from_secs_f64(time.max(0.0) / 1e3)
 }
 
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -2,14 +2,13 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use super::back::lines::Lines;
 use super::classes::{Class, Classes};
 use super::ending::Ending;
 use super::{Answer, AttemptEnding, Mail, News, Pages, Query};
 use crate::config::Names;
-use crate::facade::{AttemptReport, Facade, Letter, Mailbox, Sending, Step};
+use crate::facade::{AttemptReport, Facade, Letter, Mailbox, Sending, Step, milliseconds};
 
 /// What all requests share.
 pub struct Gateway {
@@ -98,7 +97,7 @@
         if self.query.client.gone() {
             return self.left(sending);
         }
-        let left = Duration::from_secs_f64((self.query.new.due - facade.now()).max(0.0) / 1e3);
+        let left = milliseconds(self.query.new.due - facade.now());
         let handle = self.gateway.lines.send(sending, self.query, left, self.mailbox.address());
         let give_up = |ending: Ending| {
             handle.cancel();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -19,7 +19,7 @@
 use super::versions::{SetLog, Told, Versioned};
 use super::{lock, task};
 use crate::config::{Config, Limits};
-use crate::facade::Facade;
+use crate::facade::{Facade, milliseconds};
 
 /// Descriptors for everything but clients and databases.
 const RESERVE: usize = 32;
@@ -269,8 +269,7 @@
         if self.shared {
             self.stop_accepting();
             self.front.leave(Leave::Answered);
-            let last =
-                Duration::from_secs_f64((self.last_answers + 300.0) / 1e3).saturating_sub(LAST_SESSIONS);
+            let last = milliseconds(self.last_answers + 300.0).saturating_sub(LAST_SESSIONS);
             while self.front.sessions() > 0 && began.elapsed() < last {
                 std::thread::sleep(LOOK);
             }
@@ -281,7 +280,7 @@
         self.front.leave(Leave::Idle);
         // A session counts until its client has closed, too, or is given up: a close under what is still to be read or to
         // be written would reset the connection.
-        let last = Duration::from_secs_f64(self.last_answers / 1e3) + LAST_CLOSES;
+        let last = milliseconds(self.last_answers) + LAST_CLOSES;
         while self.gateway.open.load(Ordering::Relaxed) + self.front.sessions() > 0 && began.elapsed() < last
         {
             std::thread::sleep(LOOK);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -750,7 +750,9 @@
             // As if one engine had just been seen idle: without news, sends are tried again and bring some.
             cores += size * news + if cores == 0.0 { size } else { 0.0 };
             held += engine.others.value.max(0.0) * news;
-            own.push((engine.held.queries, size));
+            if self.heard.is_empty() {
+                own.push((engine.held.queries, size));
+            }
         }
         // Where no engine tells of its load, other dispatchers are taken to do as this one does.
         match self.heard.is_empty() {
