Show that an acknowledged version is lost at a restart during a drain (review case 2)

Cause: a proxy that starts checks its stored version like a new offer, with the engines of the moment. If the engine of a strict route drains, the version that was in force is rejected with `no-usable-engine`; the server's offer is rejected too and is not repeated when the engine is back.

Change: review/2 is the new case. The stand-in for the proxy takes a coordinator and the operator's file.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A member that holds the lease is removed from its group; it and its successor both act as the lease holder."""
+"""A proxy is killed and started again while the engine of a route drains; the version that it acknowledged is gone."""
 import os
 import sys
 import threading
@@ -6,115 +6,98 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand-ins"))
-from common import TROUBLE, CannotRun, Member, command, run_case, wait_until  # noqa: E402
-from stream import Relay, status, subscribe  # noqa: E402
+from common import TROUBLE, CannotRun, Member, command, free_port, run_case, wait_until  # noqa: E402
+from proxy import Client, Coordinator, Engine, Proxy, query  # noqa: E402
 
-# The delay of the link to member 2, in seconds: well below the lease (2 s) and all timeouts of the members.
-DELAY = 0.6
+ROUTE = 'routes { name: "reports" classes: "payroll-report" targets { engine: "s-1" } }\n'
 
 
 def steps(record, processes, temporary):
-    members = []
-    relay = Relay(lambda: members[1].listen)
-    members += [
-        Member(number, temporary, record, processes, relay.address if number == 2 else None) for number in (1, 2, 3)
-    ]
-    one, two, three = members
-    for member in members:
-        member.start()
-    wait_until("member 1 answers", lambda: command([one], "members", quiet=True)[0] == 0)
+    def on_serve(engine, connection, identifier):
+        time.sleep(0.05)
+        engine.answer(connection, identifier, "HIT", "total=1,elapsed=50,rss=80,use=q:0;rif:1;x0:0.1", b"a\tb\tc\n")
+
+    control = Member(1, temporary, record, processes)
+    control.start()
+    wait_until("the control server has its lease", lambda: command([control], "duties", quiet=True)[0] == 0)
+    engines = [Engine(f"s-{number}", record, on_serve) for number in (1, 2)]
+    coordinator = Coordinator(record)
+    coordinator.tell([engine.entry() for engine in engines], complete=True)
+    operator = os.path.join(temporary, "operator.textproto")
+    with open(operator, "w", encoding="utf-8") as file:
+        file.write(f'control {{ services: "{control.listen}" state: "{os.path.join(temporary, "state")}" }}\n')
+    address = f"127.0.0.1:{free_port()}"
+
+    def start(seed):
+        """Starts the proxy as the platform does: the configuration holds the events of the start."""
+        proxy = Proxy("n0", temporary, record, processes, address, seed, list(coordinator.events),
+                      coordinator=coordinator.address, operator=operator)
+        proxy.wait_until_ready()
+        return proxy
+
+    def in_force(proxy):
+        return proxy.statistics()["configuration"]["version"]
+
+    numbers = iter(range(1, 1000))
+
+    def report(proxy_address, budget):
+        """A payroll-report; returns the kinds of the messages of its answer, and its error."""
+        client = Client(proxy_address)
+        client.send(query("payroll-report", f"{next(numbers):016x}", budget))
+        answer = client.read()
+        record(f"client: payroll-report with {budget} ms: {answer}")
+        client.socket.close()
+        return answer
+
+    proxy = start("8c1f30d27a5be964")
+    wait_until("the proxy follows", lambda: proxy.statistics()["configuration"]["connected"])
+    path = os.path.join(temporary, "route")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(ROUTE)
+    code, output = command([control], "publish", path, "--hold", "1", record=record)
+    if code != 0:
+        raise CannotRun("the publication was not acknowledged")
+    version = output["version"]
+    wait_until("the proxy acknowledges it", lambda: any(
+        entry["in_force"] == version for entry in command([control], "status", quiet=True)[1]["proxies"]))
+    wait_until("the rollout is complete", lambda: command(
+        [control], "watch", str(version), "--within", "1", record=record)[0] == 0)
+    record(f"the proxy has acknowledged version {version}: payroll-report goes to s-1 only, and waits while s-1 drains")
+    for _ in range(3):
+        report(address, 4000)
+    if len(engines[0].served) != 3 or engines[1].served:
+        raise CannotRun("the route was not followed before the trouble")
 
-    def voters():
-        output = command([one], "members", quiet=True)[1]
-        entries = output["members"] if isinstance(output, dict) else []
-        return {entry["member"] for entry in entries if entry["votes"] and entry["here"]}
-
-    for member in (two, three):
-        add = ("members", "add", str(member.number), member.listen_as, member.operators)
-        wait_until("the member is added", lambda add=add: command([one], *add, quiet=True)[0] == 0)
-        wait_until("it votes", lambda number=member.number: number in voters())
-    for number, most in ((1, 11), (2, 22)):
-        with open(os.path.join(temporary, f"document-{number}"), "w", encoding="utf-8") as file:
-            file.write(f"limits {{ max_open: {most} }}\n")
-
-    def publish(services, number):
-        path = os.path.join(temporary, f"document-{number}")
-        code, output = command(services, "publish", path, "--once", f"document-{number}", record=record)
-        if code != 0:
-            raise CannotRun("a publication was not acknowledged")
-        return output["version"]
-
-    publish(members, 1)
-    if command(members, "hand-over", "versions", "--to", "2", record=record)[0] != 0:
-        raise CannotRun("the role was not handed over")
-    wait_until("member 2 holds the lease", lambda: status(two.operators)[2] == "fleet")
-
-    # The link to member 2 becomes slow. It keeps its lease, and all commands work.
     if TROUBLE:
-        relay.delay = DELAY
-        record(f"the link to member 2 takes {DELAY} s from now on")
-    time.sleep(4)
-    if status(two.operators)[2] != "fleet" or command([one], "members", quiet=True)[0] != 0:
-        raise CannotRun("member 2 has lost its lease")
-
-    # Every member is asked again and again for its `status`, which only the lease holder answers.
-    answers, offers, finished = {member.number: [] for member in members}, [], threading.Event()
-
-    def ask(member):
-        while not finished.is_set():
-            answers[member.number].append(status(member.operators))
-            time.sleep(0.01)
-
-    def connect():
-        count = 0
-        while not finished.is_set():
-            count += 1
-            sent_at = time.monotonic()
-            try:
-                offers.append((sent_at, time.monotonic(), subscribe(two.listen, f"n{count}")))
-            except OSError:
-                pass
-            time.sleep(0.02)
-
-    threads = [threading.Thread(target=ask, args=(member,)) for member in members]
-    threads.append(threading.Thread(target=connect))
-    for thread in threads:
+        coordinator.tell([engines[0].entry("DRAINING")])
+        # Without a restart the route holds: the request waits, and is refused before its time is up.
+        report(address, 1500)
+        if engines[1].served:
+            raise CannotRun("the route was not followed while the engine drained")
+    proxy.kill()
+    proxy = start("51d0c3a9e2774b08")
+    record(f"the proxy is started again; version in force: {in_force(proxy)}")
+    lost = in_force(proxy) != version
+    reports = [threading.Thread(target=report, args=(address, 4000)) for _ in range(3)]
+    for thread in reports:
         thread.start()
-    start = record.started
-    removed = command([one], "members", "remove", "2", record=record)[0] == 0
-
-    def successor():
-        found = [(call[1], number) for number in (1, 3) for call in answers[number] if call[2] == "fleet"]
-        return min(found, default=None)
-
-    try:
-        if not removed:
-            raise CannotRun("the member was not removed")
-        answered_at, number = wait_until("another member holds the lease", successor)
-        record(f"member {number} answers `status` as the lease holder since {answered_at - start:.3f}")
-        version = publish([one, three], 2)
-        published_at = time.monotonic()
-        record(f"version {version} is acknowledged by the new lease holder")
-        wait_until("member 2 ends", two.ended)
-        record(f"member 2 ended: {two.last_line()}")
-    finally:
-        finished.set()
-        for thread in threads:
-            thread.join()
-
-    # Calls to member 2 that were sent after another member had answered as the lease holder.
-    stale = [call for call in answers[2] if call[0] > answered_at and call[2] == "fleet"]
-    for sent_at, replied_at, _, newest in stale[:1] + stale[1:][-1:]:
-        record(f"member 2, asked at {sent_at - start:.3f}, answers as the lease holder at {replied_at - start:.3f}; "
-               f"newest version: {newest}")
-    late_offers = [(at, offer) for at, _, offer in offers if at > published_at and offer[3]]
-    for at, (member, holder, holder_term, offered, term) in late_offers[:1] + late_offers[1:][-1:]:
-        record(f"member {member} at {at - start:.3f}: welcome names member {holder} (term {holder_term}), and it offers "
-               f"version {offered} under term {term} to a proxy, after version {version} was acknowledged")
-    if stale:
-        record(f"two members acted as the one lease holder for {stale[-1][0] - answered_at:.3f} s at least "
-               f"({len(stale)} answers, {len(late_offers)} offers)")
-    return not stale and not late_offers
+    time.sleep(2)
+    if TROUBLE:
+        coordinator.tell([engines[0].entry("SERVING")])
+    for thread in reports:
+        thread.join()
+    time.sleep(3)
+    record(f"s-1 serves; version in force: {in_force(proxy)}")
+    for _ in range(5):
+        report(address, 4000)
+    strays = len(engines[1].served)
+    for words in ("list",), ("status",):
+        command([control], *words, record=record)
+    if lost:
+        record(f"version {version}, which the proxy had acknowledged, was not in force after the restart")
+    if strays:
+        record(f"s-2 was sent {strays} payroll-reports that the version in force keeps from it")
+    return not lost and not strays
 
 
 run_case(FOLDER, steps)
--- a/review/stand-ins/proxy.py
+++ b/review/stand-ins/proxy.py
@@ -104,6 +104,55 @@
             self.record(f"{self.name}: the answer finds its connection closed")
 
 
+class Coordinator:
+    """The coordinator: holds the numbered events of the list, and streams them to each proxy that asks."""
+
+    def __init__(self, record):
+        self.record, self.events, self.changed = record, [], threading.Condition()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def tell(self, entries, complete=False):
+        with self.changed:
+            index = len(self.events) + 1
+            self.events.append({"index": index, "endpoints": {
+                "revision": index, "complete": complete, "members": entries}})
+            self.changed.notify_all()
+        self.record("coordinator: " + ", ".join(f"{entry['id']} {entry['phase']}" for entry in entries))
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        try:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                head += connection.recv(4096)
+            told = int(re.search(rb"(?i)last-event-id: *(\d+)", head).group(1))
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+            while True:
+                with self.changed:
+                    if len(self.events) <= told:
+                        self.changed.wait(1)
+                    events = self.events[told:]
+                for event in events:
+                    connection.sendall(f"id: {event['index']}\ndata: {json.dumps(event)}\n\n".encode())
+                    told = event["index"]
+                if not events:
+                    connection.sendall(b": nothing new\n\n")
+        except OSError:
+            pass
+
+
+def first_list(engines):
+    """The events of a start: the whole list."""
+    return [{"index": 1, "endpoints": {
+        "revision": 1, "complete": True, "members": [engine.entry() for engine in engines]}}]
+
+
 class Client:
     """A client with one session."""
 
@@ -178,14 +227,14 @@
     """One process of the proxy, started with `run` of the deploy file. `listener` is a socket that the platform
     holds and passes as descriptor 5."""
 
-    def __init__(self, name, folder, record, processes, address, seed, engines, listener=None, coordinator=None):
+    def __init__(self, name, folder, record, processes, address, seed, known, listener=None, coordinator=None,
+                 operator=None):
         self.record, self.management = record, f"127.0.0.1:{free_port()}"
         self.config = os.path.join(folder, f"{name}.json")
         config = {
             "name": "n0", "listen": address, "management": self.management, "seed": seed,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-            "known": {"index": 1, "updates": [{"index": 1, "endpoints": {
-                "revision": 1, "complete": True, "members": [engine.entry() for engine in engines]}}]},
+            "known": {"index": known[-1]["index"], "updates": known},
         }
         if coordinator:
             config["coordinator"] = coordinator
@@ -194,6 +243,8 @@
         environment = {**os.environ, "EDGE_NAME": "n0", "EDGE_LISTEN": address, "EDGE_CONFIG": self.config,
                        "EDGE_MANAGEMENT": self.management, "TMPDIR": folder,
                        "GAUGESTEP_LOG": "gaugestep=debug"}
+        if operator:
+            environment["GAUGESTEP_OPERATOR"] = operator
         options, descriptors = {}, ""
         if listener:
             environment["EDGE_SOCKET_FD"] = "5"
@@ -211,9 +262,18 @@
         except OSError:
             return 0
 
+    def statistics(self):
+        with urllib.request.urlopen(f"http://{self.management}/ops/stats", timeout=2) as answer:
+            return json.load(answer)
+
     def wait_until_ready(self):
         wait_until("the proxy is ready", lambda: self.readiness() == 200)
 
+    def kill(self):
+        self.record("kill the proxy")
+        self.process.kill()
+        self.process.wait()
+
     def terminate(self):
         self.record("SIGTERM")
         self.process.send_signal(signal.SIGTERM)
