--- a/review/stand-ins/proxy.py
+++ b/review/stand-ins/proxy.py
@@ -3,7 +3,6 @@
 import os
 import re
 import shlex
-import signal
 import socket
 import struct
 import threading
@@ -59,7 +58,6 @@
     def __init__(self, name, record, on_serve):
         self.name, self.record, self.on_serve = name, record, on_serve
         self.served = []  # (time of the whole arrival, id)
-        self.cancelled = set()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -89,8 +87,6 @@
                     self.answer(connection, words[1], "PONG", "-", b"")
                 else:
                     self.record(f"{self.name} <- {line.decode().strip()}")
-                    if words[0] == "cancel":
-                        self.cancelled.add(words[1])
         except (OSError, ValueError):
             pass
         self.record(f"{self.name}: a connection has ended")
@@ -163,7 +159,6 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         body = b"\0\x03\0\0user\0app\0database\0dw\0\0"
         self.socket.sendall(struct.pack(">I", len(body) + 4) + body)
-        self.key = b""
         self.read()
 
     def send(self, text):
@@ -179,8 +174,6 @@
             kind = head[:1].decode()
             if kind == "Z":
                 return kinds, code
-            if kind == "K":
-                self.key = body
             if kind == "E":
                 fields = {part[:1]: part[1:].decode() for part in body.split(b"\0") if part}
                 code = fields[b"C"] + " " + fields[b"M"]
@@ -195,18 +188,6 @@
             data += part
         return data
 
-    def cancel(self):
-        """Sends a CancelRequest on a connection of its own, and waits until that connection is closed."""
-        with socket.create_connection(self.address, timeout=5) as connection:
-            connection.sendall(struct.pack(">II", 16, 80877102) + self.key)
-            sent_at = time.monotonic()
-            try:
-                while connection.recv(100):
-                    pass
-            except OSError:
-                pass
-        return sent_at
-
 
 def query(name, identifier, budget, tenant="luzon-north"):
     verb = "INSERT INTO sales_17.orders SELECT * FROM staging.orders" if name == "payrun-load" else \
@@ -224,11 +205,9 @@
 
 
 class Proxy:
-    """One process of the proxy, started with `run` of the deploy file. `listener` is a socket that the platform
-    holds and passes as descriptor 5."""
+    """One process of the proxy, started with `run` of the deploy file. `operator` is the operators' file."""
 
-    def __init__(self, name, folder, record, processes, address, seed, known, listener=None, coordinator=None,
-                 operator=None):
+    def __init__(self, name, folder, record, processes, address, seed, known, coordinator=None, operator=None):
         self.record, self.management = record, f"127.0.0.1:{free_port()}"
         self.config = os.path.join(folder, f"{name}.json")
         config = {
@@ -245,13 +224,9 @@
                        "GAUGESTEP_LOG": "gaugestep=debug"}
         if operator:
             environment["GAUGESTEP_OPERATOR"] = operator
-        options, descriptors = {}, ""
-        if listener:
-            environment["EDGE_SOCKET_FD"] = "5"
-            options, descriptors = {"stdin": listener}, "exec 5<&0 </dev/null; "
-        command = ["/bin/sh", "-c", descriptors + run_command()]
+        command = ["/bin/sh", "-c", run_command()]
         self.log = os.path.join(folder, f"{name}.log")
-        self.process = processes.start(f"proxy {name}", command, self.log, env=environment, **options)
+        self.process = processes.start(f"proxy {name}", command, self.log, env=environment)
 
     def readiness(self):
         try:
@@ -273,7 +248,3 @@
         self.record("kill the proxy")
         self.process.kill()
         self.process.wait()
-
-    def terminate(self):
-        self.record("SIGTERM")
-        self.process.send_signal(signal.SIGTERM)
