--- a/crates/config/src/proxy_check.rs
+++ b/crates/config/src/proxy_check.rs
@@ -6,11 +6,10 @@
 use crate::schema::target::Which;
 use crate::{Document, RejectReason, routing, schema};
 
-/// Returns the faults that prevent the document from being in force at the proxy now, in the order of its
+/// Returns the faults for which the proxy rejects the document if it is offered now, in the order of its
 /// fields; empty if there are none. The document must have passed [`crate::check`].
 ///
-/// The engines of routes are not checked before the first discovery list has arrived: a proxy that starts on
-/// its last good version must not lose it because the coordinator is late.
+/// The engines of routes are not checked before the first discovery list has arrived.
 pub fn check(document: &Document, proxy: &ProxyState) -> Vec<RejectReason> {
     let mut faults = Vec::new();
     check_classes(document, proxy, &mut faults);
--- a/crates/config/src/version_tracker/mod.rs
+++ b/crates/config/src/version_tracker/mod.rs
@@ -10,11 +10,12 @@
 //!   the state of the proxy at that time.
 //! - The number of the version in force never decreases.
 //! - Every offer gets exactly one response, unless its stream ends first.
-//! - An acknowledged version is found after a restart.
+//! - An acknowledged version is in force after a restart, whatever the state of the proxy is by then.
 
 mod accepted;
 mod events;
 mod history;
+mod recovery;
 
 use crate::proxy_state::ProxyState;
 use crate::schema::offer::Content;
@@ -23,6 +24,7 @@
 pub use accepted::AcceptedVersion;
 pub use events::{Action, Event, OfferId, StorageFailure};
 pub use history::{VersionRecord, VersionStatus};
+pub use recovery::{Recovery, UnusableVersion};
 
 use history::History;
 
@@ -64,23 +66,6 @@
     Committing { previous: Option<Box<AcceptedVersion>> },
 }
 
-/// The result of [`VersionTracker::recover`].
-pub struct Recovery {
-    /// The tracker, with the first usable version in force, if there is one.
-    pub tracker: VersionTracker,
-    /// The stored versions before that one, which are not usable.
-    pub unusable: Vec<UnusableVersion>,
-}
-
-/// A stored version that cannot be used.
-#[derive(Clone, Debug, PartialEq)]
-pub struct UnusableVersion {
-    /// The position among the stored versions, from 0.
-    pub position: usize,
-    /// Why it cannot be used.
-    pub reason: RejectReason,
-}
-
 /// Tracks the versions that one proxy was offered.
 #[derive(Default)]
 pub struct VersionTracker {
@@ -98,30 +83,6 @@
         Self::default()
     }
 
-    /// Creates the tracker of a proxy that starts. `stored` yields the versions in its store, the newest
-    /// first. The first one that is intact and valid for the proxy is put in force.
-    pub fn recover(
-        now: Timestamp,
-        stored: impl IntoIterator<Item = Result<Vec<u8>, StorageFailure>>,
-        proxy: &ProxyState,
-    ) -> Recovery {
-        let mut tracker = VersionTracker::new();
-        let mut unusable = Vec::new();
-        for (position, bytes) in stored.into_iter().enumerate() {
-            match recover_version(bytes, proxy) {
-                Ok(accepted) => {
-                    let Version { number, digest } = &accepted.version;
-                    tracker.history.set(now, *number, digest, VersionStatus::InForce);
-                    tracker.in_force = Some(accepted);
-                    tracker.in_force_since = now;
-                    break;
-                }
-                Err(reason) => unusable.push(UnusableVersion { position, reason }),
-            }
-        }
-        Recovery { tracker, unusable }
-    }
-
     /// The version in force; `None` if there is none.
     pub fn in_force(&self) -> Option<&AcceptedVersion> {
         self.in_force.as_ref()
@@ -358,17 +319,6 @@
     }
 }
 
-/// Decodes a stored version and validates it for the proxy.
-fn recover_version(
-    stored: Result<Vec<u8>, StorageFailure>,
-    proxy: &ProxyState,
-) -> Result<AcceptedVersion, RejectReason> {
-    let bytes = stored.map_err(|failure| RejectReason::Unreadable(failure.to_string()))?;
-    let accepted = AcceptedVersion::decode(&bytes)?;
-    check_document(&accepted.document, proxy)?;
-    Ok(accepted)
-}
-
 /// Validates a document by itself and against the present state of the proxy; the error is the first fault.
 fn check_document(document: &Document, proxy: &ProxyState) -> Result<(), RejectReason> {
     let mut faults = check::check(document).into_iter().chain(proxy_check::check(document, proxy));
--- a/crates/config/tests/version_tracker.rs
+++ b/crates/config/tests/version_tracker.rs
@@ -10,7 +10,7 @@
 use gaugestep_config::version_tracker::{
     AcceptedVersion, Action, Event, OfferId, Recovery, StorageFailure, VersionTracker,
 };
-use gaugestep_config::{Document, RejectReason, Timestamp, check, delta, proxy_check, version};
+use gaugestep_config::{Document, RejectReason, Timestamp, check, delta, proxy_check, text, version};
 use proptest::prelude::*;
 use prost::Message as _;
 
@@ -56,8 +56,9 @@
     Open(u64),
     /// The stream ends and the next one begins.
     Reconnect,
-    /// The process ends. `stored` says whether a pending commit took effect before that.
-    Crash { stored: bool },
+    /// The process ends. `stored` says whether a pending commit took effect before that, `listed` whether the
+    /// configuration of the next process contains the discovery list.
+    Crash { stored: bool, listed: bool },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -68,7 +69,7 @@
         2 => any::<bool>().prop_map(Step::Drain),
         1 => (0u64..200).prop_map(Step::Open),
         1 => Just(Step::Reconnect),
-        1 => any::<bool>().prop_map(|stored| Step::Crash { stored }),
+        1 => (any::<bool>(), any::<bool>()).prop_map(|(stored, listed)| Step::Crash { stored, listed }),
     ]
 }
 
@@ -196,7 +197,13 @@
         self.stream += 1;
     }
 
-    fn crash(&mut self, stored: bool) {
+    /// Whether the engine that may be draining is.
+    fn is_draining(&self) -> bool {
+        let engines = self.proxy.engines.as_ref();
+        engines.is_some_and(|engines| engines[1].state == EngineState::Draining)
+    }
+
+    fn crash(&mut self, stored: bool, listed: bool) {
         if let (true, Some(Action::Commit { .. }), Some((_, bytes))) =
             (stored, self.pending_stores.first(), &self.staged)
         {
@@ -206,9 +213,11 @@
         self.staged = None;
         let stored_versions: Vec<Result<Vec<u8>, StorageFailure>> =
             [&self.current, &self.previous].into_iter().flatten().map(|bytes| Ok(bytes.clone())).collect();
-        // When a proxy starts, the discovery list has not arrived and no requests are open.
-        let at_start = ProxyState { engines: None, ..proxy(false, 0) };
-        let Recovery { tracker, unusable } =
+        // When a proxy starts, no requests are open, and engines drain as before.
+        let restarted = proxy(self.is_draining(), 0);
+        let at_start =
+            ProxyState { engines: restarted.engines.clone().filter(|_| listed), ..restarted.clone() };
+        let Recovery { tracker, unusable, .. } =
             VersionTracker::recover(Timestamp::default(), stored_versions, &at_start);
         assert!(unusable.is_empty(), "{unusable:?}");
         let recovered = tracker.in_force().map_or(0, |accepted| accepted.version.number);
@@ -218,7 +227,7 @@
         self.tracker = tracker;
         self.responses.retain(|_, responses| *responses > 0);
         self.stream += 1;
-        self.proxy = proxy(false, 0);
+        self.proxy = restarted;
     }
 }
 
@@ -247,13 +256,9 @@
                 Step::Offer { ahead, document_kind, form } => embedder.offer(ahead, document_kind, form),
                 Step::EndStore { fails } => embedder.end_store(fails),
                 Step::Drain(draining) => embedder.proxy = proxy(draining, embedder.proxy.open),
-                Step::Open(open) => {
-                    let engines = embedder.proxy.engines.as_ref();
-                    let draining = engines.is_some_and(|engines| engines[1].state == EngineState::Draining);
-                    embedder.proxy = proxy(draining, open);
-                }
+                Step::Open(open) => embedder.proxy = proxy(embedder.is_draining(), open),
                 Step::Reconnect => embedder.reconnect(),
-                Step::Crash { stored } => embedder.crash(stored),
+                Step::Crash { stored, listed } => embedder.crash(stored, listed),
             }
             prop_assert!(embedder.pending_stores.len() <= 1, "one store operation at a time");
         }
@@ -275,12 +280,12 @@
     let complete = good.encode();
     for cut in 0..complete.len() {
         let stored = [Ok(complete[..cut].to_vec()), Ok(complete.clone())];
-        let Recovery { tracker, unusable } =
+        let Recovery { tracker, unusable, .. } =
             VersionTracker::recover(Timestamp::default(), stored, &proxy(false, 0));
         assert_eq!(tracker.in_force(), Some(&good), "cut at byte {cut}");
         assert_eq!(unusable.len(), 1);
     }
-    let Recovery { tracker, unusable } = VersionTracker::recover(
+    let Recovery { tracker, unusable, .. } = VersionTracker::recover(
         Timestamp::default(),
         [Ok(vec![0xff; 9]), Err(StorageFailure::new("gone"))],
         &proxy(false, 0),
@@ -289,6 +294,34 @@
     assert_eq!(unusable.iter().map(|version| version.reason.code()).collect::<Vec<_>>(), ["unreadable"; 2]);
 }
 
+/// Guards against the loss of an acknowledged version at a restart whose engines or settings would no longer
+/// allow a new version like it.
+#[test]
+fn a_restart_keeps_the_stored_version_when_engines_have_left_or_the_settings_were_tightened() {
+    let documents = [
+        (r#"routes { name: "r" targets { engine: "s-1" } }"#, "no-usable-engine"),
+        (r#"routes { name: "r" targets { engine: "s-9" } }"#, "no-usable-engine"),
+        (r#"routes { name: "r" classes: "report" targets { engine: "s-0" } }"#, "unknown-name"),
+        (r#"tenants { name: "acme" quota_per_s: 5 }"#, "unknown-name"),
+        (r#"limits { max_open: 2000 }"#, "beyond-rule"),
+    ];
+    for (text, code) in documents {
+        let document = text::parse(text).expect("the test's document can be read");
+        let newest = AcceptedVersion { version: version(4, &document), document };
+        let older =
+            AcceptedVersion { version: version(3, &Document::default()), document: Document::default() };
+        let Recovery { tracker, conflicts, unusable } = VersionTracker::recover(
+            Timestamp::default(),
+            [Ok(newest.encode()), Ok(older.encode())],
+            &proxy(true, 0),
+        );
+        assert_eq!(tracker.in_force(), Some(&newest), "{text}");
+        assert_eq!(unusable, [], "{text}");
+        let codes: Vec<&str> = conflicts.iter().map(RejectReason::code).collect();
+        assert_eq!(codes, [code], "{text}");
+    }
+}
+
 /// An offer that was truncated at any byte, without a frame length that would reveal it, cannot be decoded or
 /// is rejected.
 #[test]
--- a/crates/control-plane/src/client/versions.rs
+++ b/crates/control-plane/src/client/versions.rs
@@ -39,6 +39,15 @@
         let (version, digest) = (accepted.version.number, short_digest(&accepted.version.digest));
         tracing::info!(version, digest, "starts on the last good version");
         proxy.apply(&accepted.document);
+        for reason in &recovery.conflicts {
+            let (code, path) = (reason.code(), reason.path());
+            tracing::warn!(
+                version,
+                code,
+                path,
+                "stays in force, but would be rejected if offered now: {reason}"
+            );
+        }
     }
     recovery.tracker
 }
--- a/tests/configuration/recovery.rs
+++ b/tests/configuration/recovery.rs
@@ -1,9 +1,11 @@
 //! Starts after kills, with corrupt files and from backups.
 
+use std::io::Write as _;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::control::{ControlServer, RespondingEngine, wait_until};
-use crate::proxy::Launch;
+use crate::proxy::{Coordinator, Launch, event, query};
 use crate::{in_force, run_query, state_folder};
 
 #[test]
@@ -42,6 +44,69 @@
     wait_until("the newest version is stored", || std::fs::read(&current).unwrap().len() > 20);
 }
 
+/// Guards against a restart that drops an acknowledged version because the engine of a strict route drains,
+/// and sends the requests of the route to other engines.
+#[test]
+fn a_proxy_killed_while_the_engine_of_a_strict_route_drains_keeps_its_version() {
+    let (control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
+    let (a, b, coordinator) = (RespondingEngine::new(), RespondingEngine::new(), Coordinator::new());
+    let engines = [&a.listener, &b.listener];
+    let operator = Some(control.write_operator_file(&state_folder(&folder)));
+    let mut proxy = Launch { coordinator: Some(&coordinator), operator, ..Launch::new(&engines) }.start();
+    let to_b = r#"routes { name: "lookups" classes: "lookup" targets { engine: "s-1" } }"#;
+    let version = control.publish(to_b, &[]);
+    wait_until("the version is acknowledged", || control.proxy_status("n0")["in_force"] == version);
+    drop(coordinator.accept());
+    proxy.kill();
+    // The configuration of the restart lists the engine as draining.
+    let (serving, draining) =
+        (b.listener.list_entry("s-1", "SERVING"), b.listener.list_entry("s-1", "DRAINING"));
+    proxy.rewrite(&serving, &draining);
+    proxy.restart();
+    let (mut list, last_event) = coordinator.accept();
+    assert_eq!(in_force(&proxy), version, "the acknowledged version is in force after the restart");
+    assert_eq!(proxy.statistics()["configuration"]["weak_routes"], serde_json::json!(["lookups"]));
+    let mut client = proxy.client();
+    client.send(&query("lookup", 1, 3_900));
+    wait_until("the request is open", || proxy.statistic("/outstanding") == Some(1));
+    wait_until("the proxy follows", || control.proxy_status("n0")["connected"] == true);
+    list.write_all(event(last_event + 1, &[serving]).as_bytes()).unwrap();
+    assert_eq!(client.read_response(), "TDC");
+    assert_eq!(run_query(&proxy, "lookup", 2), "TDC");
+    assert_eq!((a.served(), b.served()), (0, 2), "only the engine of the route serves its requests");
+    let status = control.proxy_status("n0");
+    assert_eq!((&status["in_force"], &status["refused"]), (&version.into(), &0.into()), "{status}");
+}
+
+/// Guards against a restart that drops an acknowledged version, or an unrelated part of it, because the
+/// platform's file was tightened since: as after SIGHUP, the tighter limit of the file applies.
+#[test]
+fn a_proxy_restarted_with_a_tightened_file_keeps_its_version_within_the_new_limits() {
+    let (mut control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
+    let (a, b) = (RespondingEngine::new(), RespondingEngine::new());
+    let engines = [&a.listener, &b.listener];
+    let operator = Some(control.write_operator_file(&state_folder(&folder)));
+    let mut proxy = Launch { operator, ..Launch::new(&engines) }.start();
+    let document = r#"routes { name: "lookups" classes: "lookup" targets { engine: "s-1" } }
+                      limits { max_open: 900 }"#;
+    let version = control.publish(document, &[]);
+    wait_until("the version is in force", || in_force(&proxy) == version);
+    control.kill();
+    proxy.kill();
+    proxy.rewrite(r#""max_open": 1000"#, r#""max_open": 1"#);
+    proxy.restart();
+    assert_eq!(in_force(&proxy), version);
+    assert_eq!(run_query(&proxy, "lookup", 1), "TDC");
+    assert_eq!((a.served(), b.served()), (0, 1), "the route of the version applies");
+    b.paused.store(true, Ordering::SeqCst);
+    let (mut first, mut second) = (proxy.client(), proxy.client());
+    first.send(&query("lookup", 2, 3_900));
+    wait_until("the engine receives the request", || b.received.load(Ordering::SeqCst) == 2);
+    assert!(second.request(&query("lookup", 3, 1_000)).starts_with("E 53300"), "the file's limit applies");
+    b.paused.store(false, Ordering::SeqCst);
+    assert_eq!(first.read_response(), "TDC");
+}
+
 #[test]
 fn killing_the_proxy_or_the_control_server_at_any_moment_loses_no_acknowledged_version() {
     let (mut control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
