--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use clap::{Args, Parser, Subcommand};
-use gaugestep_config::schema::{Control, Operator};
-use gaugestep_control_plane::client::{ConfigSubscriber, SubscriberSettings};
+use gaugestep_config::schema::Operator;
+use gaugestep_control_plane::client::SubscriberSettings;
 use gaugestep_control_plane::error_line;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -102,13 +102,11 @@
     let format = if options.log_json { LineFormat::Json } else { LineFormat::Text };
     let log = logging::start(format);
     task::init_scheduler();
-    let (name, seed) = (config.name.clone(), config.seed);
+    let name = config.name.clone();
     let admin_address = options.management.or(config.admin_address);
-    let control = options.operator.as_deref().map(control_settings).transpose()?.flatten();
-    let server = Arc::new(Server::start(config, options.socket_fd, log.set_directives)?);
-    if let Some(control) = control {
-        subscribe(&server, &control, &name, seed)?;
-    }
+    let operator = options.operator.as_deref();
+    let control = operator.map(|path| subscriber_settings(path, &config)).transpose()?.flatten();
+    let server = Arc::new(Server::start(config, options.socket_fd, control, log.set_directives)?);
     if let Some(address) = admin_address {
         admin::start(address, server.clone())?;
     }
@@ -117,15 +115,6 @@
     handle_signals(signals, &server, &options.config, &initial_json)
 }
 
-/// Subscribes to the control server. The last valid configuration version is applied first.
-fn subscribe(server: &Server, control: &Control, name: &str, seed: u64) -> anyhow::Result<()> {
-    let build = env!("CARGO_PKG_VERSION");
-    let settings = SubscriberSettings::from_config(control, name, build, seed)?;
-    let subscriber = ConfigSubscriber::start(settings, server.config_applier())?;
-    server.set_subscriber(subscriber);
-    Ok(())
-}
-
 /// Reloads the configuration on each SIGHUP, and shuts the proxy down on any other signal. Blocks the main
 /// thread.
 fn handle_signals(
@@ -162,8 +151,11 @@
     }
 }
 
-/// Reads the settings of the control server from an operator's file. Returns `None` if the file has none.
-fn control_settings(path: &Path) -> anyhow::Result<Option<Control>> {
+/// Reads the settings of the control servers from an operator's file. Returns `None` if the file has none.
+fn subscriber_settings(path: &Path, config: &Config) -> anyhow::Result<Option<SubscriberSettings>> {
     let operator: Operator = gaugestep_control_plane::read_text_file("Operator", path)?;
-    Ok(operator.control)
+    let Some(control) = operator.control else { return Ok(None) };
+    let build = env!("CARGO_PKG_VERSION");
+    let settings = SubscriberSettings::from_config(&control, &config.name, build, config.seed)?;
+    Ok(Some(settings))
 }
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -12,10 +12,10 @@
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
 use std::sync::atomic::AtomicUsize;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use gaugestep_control_plane::client::ConfigSubscriber;
+use gaugestep_control_plane::client::{self, ConfigSubscriber, SubscriberSettings};
 use gaugestep_dispatch::interface::SettingsError;
 use may::io::CoIo;
 
@@ -52,6 +52,9 @@
     /// The dispatcher does not accept the settings.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The subscription to the control servers cannot be started.
+    #[error(transparent)]
+    Subscriber(#[from] client::StartError),
     /// The listening socket cannot be registered with the coroutine scheduler.
     #[error(transparent)]
     Register(io::Error),
@@ -72,8 +75,8 @@
     endpoint_list: Arc<EndpointList>,
     coordinator: Arc<CoordinatorStream>,
     config_applier: Arc<ConfigApplier>,
-    /// Subscription to the control server, if one is configured.
-    subscriber: OnceLock<Arc<ConfigSubscriber>>,
+    /// Subscription to the control servers, if they are configured.
+    subscriber: Option<Arc<ConfigSubscriber>>,
     acceptor: AcceptorHandle,
     drain: DrainState,
     /// Whether the listening socket belongs to the platform, so that a successor accepts from it too.
@@ -83,16 +86,18 @@
 }
 
 impl Server {
-    /// Listens for clients and starts all background tasks. `inherited` is the descriptor of the platform's
+    /// Listens for clients, puts the last good version in force if control servers are configured, and then
+    /// starts all background tasks and accepts clients. `inherited` is the descriptor of the platform's
     /// listening socket, if there is one.
     ///
     /// # Errors
     ///
-    /// Returns an error if the proxy cannot listen, the settings are invalid, or a coroutine or thread cannot
-    /// be started.
+    /// Returns an error if the proxy cannot listen, the settings are invalid, the subscription cannot be
+    /// started, or a coroutine or thread cannot be started.
     pub fn start(
         config: Config,
         inherited: Option<RawFd>,
+        control: Option<SubscriberSettings>,
         set_log_directives: SetLogDirectives,
     ) -> Result<Self, StartError> {
         let has_successor = inherited.is_some();
@@ -108,6 +113,9 @@
             CoordinatorStream::new(endpoint_list.clone(), config.coordinator_address, stagger_factor);
         let config_applier =
             ConfigApplier::start(handler.clone(), endpoint_list.clone(), platform, set_log_directives);
+        // No request may be served before the last good version is in force, so this precedes the acceptor.
+        let subscriber =
+            control.map(|control| ConfigSubscriber::start(control, config_applier.clone())).transpose()?;
         let listener = CoIo::new(listener).map_err(|error| StartError::Register(error.into()))?;
         let listener = Arc::new(listener);
         let max_message_length = resources.max_message_length;
@@ -122,7 +130,7 @@
             endpoint_list,
             coordinator: Arc::new(coordinator),
             config_applier,
-            subscriber: OnceLock::new(),
+            subscriber,
             acceptor: acceptor.handle(),
             drain: DrainState::default(),
             has_successor,
@@ -162,17 +170,6 @@
         self.endpoint_list.apply_configured_events(config.initial_event_index, &config.initial_events);
         self.coordinator.set_address(config.coordinator_address);
     }
-
-    /// Returns the component that applies configuration versions from the control server to this proxy.
-    pub fn config_applier(&self) -> Arc<ConfigApplier> {
-        self.config_applier.clone()
-    }
-
-    /// Sets the subscription to the control server, whose status is reported to operators. Only the first
-    /// call has an effect.
-    pub fn set_subscriber(&self, subscriber: Arc<ConfigSubscriber>) {
-        let _ = self.subscriber.set(subscriber);
-    }
 }
 
 /// Creates the request handler with the settings that apply at the start.
--- a/crates/proxy/src/server/status.rs
+++ b/crates/proxy/src/server/status.rs
@@ -32,13 +32,13 @@
     /// Returns whether another process has claimed the proxy's name. This process then continues to serve its
     /// clients, but receives no further configuration versions.
     pub fn name_is_superseded(&self) -> bool {
-        self.subscriber.get().is_some_and(|subscriber| subscriber.name_is_superseded())
+        self.subscriber.as_ref().is_some_and(|subscriber| subscriber.name_is_superseded())
     }
 
     /// Returns the readiness response of a ready proxy. It includes the configuration version in force and
     /// its age, because a proxy that cannot reach the control server continues with the last version.
     pub fn readiness_text(&self) -> String {
-        match self.subscriber.get() {
+        match &self.subscriber {
             None => "ready\n".into(),
             Some(subscriber) => format!("ready; {}\n", subscriber.status_line()),
         }
@@ -56,7 +56,7 @@
             "sighup_applied": reloads.applied.load(Ordering::Relaxed),
             "sighup_rejected": reloads.rejected.load(Ordering::Relaxed),
         });
-        if let Some(subscriber) = self.subscriber.get() {
+        if let Some(subscriber) = &self.subscriber {
             stats["configuration"] = serde_json::json!(subscriber.status());
         }
         stats
--- a/tests/configuration/recovery.rs
+++ b/tests/configuration/recovery.rs
@@ -1,11 +1,14 @@
 //! Starts after kills, with corrupt files and from backups.
 
+use std::fs::File;
 use std::io::Write as _;
+use std::os::unix::fs::OpenOptionsExt as _;
+use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::control::{ControlServer, RespondingEngine, wait_until};
-use crate::proxy::{Coordinator, Launch, event, query};
+use crate::proxy::{Client, Coordinator, Launch, event, free_listener, query};
 use crate::{in_force, run_query, state_folder};
 
 #[test]
@@ -44,8 +47,7 @@
     wait_until("the newest version is stored", || std::fs::read(&current).unwrap().len() > 20);
 }
 
-/// Guards against a restart that drops an acknowledged version because the engine of a strict route drains,
-/// and sends the requests of the route to other engines.
+/// Guards against a restart that drops an acknowledged version because the engine of a strict route drains.
 #[test]
 fn a_proxy_killed_while_the_engine_of_a_strict_route_drains_keeps_its_version() {
     let (control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
@@ -78,8 +80,7 @@
     assert_eq!((&status["in_force"], &status["refused"]), (&version.into(), &0.into()), "{status}");
 }
 
-/// Guards against a restart that drops an acknowledged version, or an unrelated part of it, because the
-/// platform's file was tightened since: as after SIGHUP, the tighter limit of the file applies.
+/// Guards against a restart that drops an acknowledged version because the platform's file was tightened since.
 #[test]
 fn a_proxy_restarted_with_a_tightened_file_keeps_its_version_within_the_new_limits() {
     let (mut control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
@@ -107,6 +108,60 @@
     assert_eq!(first.read_response(), "TDC");
 }
 
+/// Opens a named pipe for writing, once another process has it open for reading.
+fn open_pipe_once_read(path: &Path) -> File {
+    /// The value of this flag on Linux. With it, the call fails in place of waiting for a reader.
+    const O_NONBLOCK: i32 = 0o4000;
+    let mut pipe = None;
+    wait_until("the pipe is open for reading", || {
+        pipe = File::options().write(true).custom_flags(O_NONBLOCK).open(path).ok();
+        pipe.is_some()
+    });
+    pipe.unwrap()
+}
+
+/// Guards against requests that a starting proxy serves before its last good version is in force.
+#[test]
+fn a_starting_proxy_serves_no_request_before_its_last_good_version_is_in_force() {
+    let (mut control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
+    let (a, b) = (RespondingEngine::new(), RespondingEngine::new());
+    let engines = [&a.listener, &b.listener];
+    let listener = free_listener();
+    let address = listener.local_addr().unwrap();
+    let operator = Some(control.write_operator_file(&state_folder(&folder)));
+    let launch =
+        || Launch { address, listener: Some(&listener), operator: operator.clone(), ..Launch::new(&engines) };
+    let mut proxy = launch().start();
+    let to_b = r#"routes { name: "lookups" classes: "lookup" targets { engine: "s-1" } }"#;
+    let version = control.publish(to_b, &[]);
+    wait_until("the version is in force", || in_force(&proxy) == version);
+    control.kill();
+    proxy.kill();
+
+    // Clients connect while the proxy is down, and the file of its version is a pipe, which blocks the reader.
+    let path = state_folder(&folder).join("current");
+    let stored = std::fs::read(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+    std::thread::scope(|scope| {
+        let request = |id| Client::open(address).request(&query("lookup", id, 3_900));
+        let clients: Vec<_> = (0..8).map(|id| scope.spawn(move || request(id))).collect();
+        let restarted = scope.spawn(|| launch().start());
+        let mut pipe = open_pipe_once_read(&path);
+        // The proxy reads its version now; one that accepted clients already would serve them meanwhile.
+        std::thread::sleep(Duration::from_millis(300));
+        assert_eq!(a.served() + b.served(), 0, "requests are served before the version is in force");
+        pipe.write_all(&stored).unwrap();
+        drop(pipe);
+        let proxy = restarted.join().unwrap();
+        assert_eq!(in_force(&proxy), version);
+        for client in clients {
+            assert_eq!(client.join().unwrap(), "TDC");
+        }
+    });
+    assert_eq!((a.served(), b.served()), (0, 8), "only the engine of the route serves its requests");
+}
+
 #[test]
 fn killing_the_proxy_or_the_control_server_at_any_moment_loses_no_acknowledged_version() {
     let (mut control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
