--- a/crates/control-plane/src/client/persistence.rs
+++ b/crates/control-plane/src/client/persistence.rs
@@ -1,15 +1,18 @@
 //! Storage of the last good version and of the highest terms, and the thread that writes them to disk.
 //!
 //! One process at a time may write to the directory of a proxy. During a hand-over the new process starts
-//! with what its predecessor stored, and writes only after the predecessor has ended.
+//! with what its predecessor stored, and writes only after the predecessor has ended: its requests wait until
+//! then, for at most [`LOCK_TIMEOUT`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
 
 use gaugestep_config::MAX_DOCUMENT_BYTES;
+use gaugestep_config::rollout::RESPONSE_TIMEOUT;
 use gaugestep_config::schema::{Charter, Duty};
 use gaugestep_config::version_tracker::{Event, StorageFailure};
 use gaugestep_leadership::fencing::PersistError;
@@ -26,6 +29,9 @@
 const MAX_VERSION_BYTES: usize = MAX_DOCUMENT_BYTES + 1024;
 /// The largest stored set of terms.
 const MAX_TERMS_BYTES: usize = 1024 * 1024;
+/// How long a request waits while another process has the stored versions locked. A version that cannot be
+/// stored by then is rejected before the control server counts the proxy as unresponsive.
+const LOCK_TIMEOUT: Duration = RESPONSE_TIMEOUT.saturating_sub(Duration::from_secs(2));
 /// The subdirectory of the proxy's state directory that holds the terms.
 const TERMS_DIRECTORY: &str = "terms";
 
@@ -77,10 +83,18 @@
     message.encode_to_vec()
 }
 
+/// A request that has not been executed yet.
+struct PendingRequest {
+    request: StorageRequest,
+    received_at: Instant,
+}
+
 /// The thread that writes versions and terms to disk, and reloads changed TLS keys.
 pub(super) struct StorageThread {
     subscriber: Arc<ConfigSubscriber>,
     requests: Receiver<StorageRequest>,
+    /// Requests that wait until the stored versions are unlocked, oldest first.
+    pending: VecDeque<PendingRequest>,
     /// The stored versions; `None` while another process has them locked.
     versions: Option<SnapshotSlots>,
     /// The stored terms; opened when the first are written.
@@ -95,18 +109,21 @@
         versions: Option<SnapshotSlots>,
         requests: Receiver<StorageRequest>,
     ) -> io::Result<()> {
-        let thread = StorageThread { subscriber, requests, versions, terms: None };
+        let pending = VecDeque::new();
+        let thread = StorageThread { subscriber, requests, pending, versions, terms: None };
         std::thread::Builder::new().name("store".into()).spawn(move || thread.run())?;
         Ok(())
     }
 
     fn run(mut self) {
         loop {
-            let request = match self.requests.recv_timeout(POLL_INTERVAL) {
-                Ok(request) => Some(request),
-                Err(RecvTimeoutError::Timeout) => None,
+            match self.requests.recv_timeout(POLL_INTERVAL) {
+                Ok(request) => {
+                    self.pending.push_back(PendingRequest { request, received_at: Instant::now() })
+                }
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
-            };
+            }
             if let Some(tls) = &self.subscriber.tls {
                 tls.reload_if_changed();
             }
@@ -114,12 +131,19 @@
                 let directory = &self.subscriber.settings.state_directory;
                 self.versions = SnapshotSlots::open(directory, MAX_VERSION_BYTES).ok();
             }
-            if let Some(request) = request {
+            while let Some(request) = self.take_due_request() {
                 self.execute(request);
             }
         }
     }
 
+    /// The oldest pending request, if the stored versions are unlocked or it has waited for too long.
+    fn take_due_request(&mut self) -> Option<StorageRequest> {
+        let is_due = self.versions.is_some() || self.pending.front()?.received_at.elapsed() >= LOCK_TIMEOUT;
+        let due = if is_due { self.pending.pop_front() } else { None };
+        due.map(|pending| pending.request)
+    }
+
     fn execute(&mut self, request: StorageRequest) {
         match request {
             StorageRequest::StageVersion { number, bytes } => {
--- a/tests/configuration/recovery.rs
+++ b/tests/configuration/recovery.rs
@@ -296,3 +296,33 @@
     let second = control.publish("limits { max_open: 34 }", &[]);
     wait_until("the next version is in force and stored", || in_force(&new) == second);
 }
+
+/// Guards against a publication during an upgrade that is rejected, and so rolled back on the whole fleet.
+#[test]
+fn a_version_published_during_a_hand_over_is_stored_once_the_predecessor_has_ended() {
+    let (control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
+    let listener = free_listener();
+    let address = listener.local_addr().unwrap();
+    let operator = Some(control.write_operator_file(&state_folder(&folder)));
+    let launch = |operator| Launch { address, listener: Some(&listener), operator, ..Launch::new(&[]) };
+    let mut old = launch(operator.clone()).start();
+    let first = control.publish("limits { max_open: 33 }", &[]);
+    wait_until("the version is in force", || in_force(&old) == first);
+    let new = launch(operator).start();
+    wait_until("the successor follows", || new.statistics()["configuration"]["connected"] == true);
+    let second = control.publish("limits { max_open: 34 }", &[]);
+    wait_until("the version is offered or rejected", || {
+        let status = control.proxy_status("n0");
+        status["offered"] == second || status["refused"] == second
+    });
+    assert_eq!(control.proxy_status("n0")["refused"], 0, "{}", control.proxy_status("n0"));
+    assert_eq!(
+        (in_force(&old), in_force(&new)),
+        (first, first),
+        "the store still belongs to the predecessor"
+    );
+    assert_eq!(old.terminate().code(), Some(0));
+    wait_until("the version is in force", || in_force(&new) == second);
+    wait_until("the version is acknowledged", || control.proxy_status("n0")["in_force"] == second);
+    assert_eq!(control.run_json(&["status"])["newest"], second, "nothing was rolled back");
+}
