--- a/crates/config/src/rollout/events.rs
+++ b/crates/config/src/rollout/events.rs
@@ -6,6 +6,7 @@
 use crate::schema::{Plan, Refusal};
 
 use super::comparison::RequestCounts;
+use super::version::Purpose;
 
 /// An event that the embedder reports.
 #[derive(Clone, Debug)]
@@ -16,8 +17,8 @@
         number: u64,
         /// The plan of its rollout.
         plan: Plan,
-        /// The version whose content it restores; 0 if it is no rollback.
-        rolls_back_to: u64,
+        /// Why the version was published.
+        purpose: Purpose,
     },
     /// A proxy has opened a stream.
     Connected(ConnectedProxy),
--- a/crates/config/src/rollout/mod.rs
+++ b/crates/config/src/rollout/mod.rs
@@ -29,9 +29,10 @@
 pub use events::{Action, ConnectedProxy, Event, ReportedVersion};
 pub use proxies::{PendingOffer, ProxyStatus, Rejection};
 pub use selection::selection_rank;
+pub use version::Purpose;
 
 use comparison::Comparison;
-use version::{Purpose, Stage, VersionRollout};
+use version::{Stage, VersionRollout};
 
 /// A proxy that has not responded to an offer for this long counts as if it had rejected it.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,8 +49,8 @@
     pub plan: Plan,
     /// The state of the rollout.
     pub state: State,
-    /// The version whose content it restores; 0 if it is no rollback.
-    pub rolls_back_to: u64,
+    /// Why the version was published.
+    pub purpose: Purpose,
 }
 
 /// The rollouts of all versions that a control server keeps.
@@ -67,8 +68,8 @@
     /// was in progress is in its first stage until [`resume`](Self::resume) restores its progress.
     pub fn recover(now: Timestamp, stored: impl IntoIterator<Item = StoredRollout>) -> Self {
         let versions = stored.into_iter().map(|version| {
-            let purpose = Purpose::of(version.rolls_back_to);
-            (version.number, VersionRollout::taken_over(now, version.plan, purpose, version.state))
+            let StoredRollout { number, plan, state, purpose } = version;
+            (number, VersionRollout::taken_over(now, plan, purpose, state))
         });
         Rollout { versions: versions.collect(), ..Rollout::default() }
     }
@@ -127,8 +128,8 @@
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
-            Event::Published { number, plan, rolls_back_to } => {
-                self.on_published(number, plan, Purpose::of(rolls_back_to), &mut actions);
+            Event::Published { number, plan, purpose } => {
+                self.on_published(number, plan, purpose, &mut actions);
             }
             Event::Connected(report) => self.on_connected(now, report),
             Event::Disconnected { proxy, stream } => self.on_disconnected(now, &proxy, stream),
--- a/crates/config/src/rollout/version.rs
+++ b/crates/config/src/rollout/version.rs
@@ -41,22 +41,14 @@
 
 /// The purpose for which a version is published.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Purpose {
+pub enum Purpose {
     /// A change by an operator. Its rollout may halt.
     Change,
-    /// A rollback to the content of an earlier version. It is offered to all proxies at once and never halts:
-    /// otherwise it would be rolled back in turn, without end.
+    /// A rollback to the content of an earlier version, or to the empty document if there is none. It is
+    /// offered to all proxies at once and never halts: otherwise it would be rolled back in turn, without end.
     RollBack,
 }
 
-impl Purpose {
-    /// The purpose of a version that restores the content of version `rolls_back_to`, or is a change if that
-    /// is 0.
-    pub(super) fn of(rolls_back_to: u64) -> Self {
-        if rolls_back_to > 0 { Purpose::RollBack } else { Purpose::Change }
-    }
-}
-
 /// The rollout of one version.
 #[derive(Debug)]
 pub(super) struct VersionRollout {
--- a/crates/config/tests/rollout.rs
+++ b/crates/config/tests/rollout.rs
@@ -5,8 +5,8 @@
 
 use gaugestep_config::Timestamp;
 use gaugestep_config::rollout::{
-    Action, ConnectedProxy, Event, RECONNECT_TIMEOUT, RESPONSE_TIMEOUT, ReportedVersion, RequestCounts,
-    Rollout, StoredRollout,
+    Action, ConnectedProxy, Event, Purpose, RECONNECT_TIMEOUT, RESPONSE_TIMEOUT, ReportedVersion,
+    RequestCounts, Rollout, StoredRollout,
 };
 use gaugestep_config::schema::entry::State;
 use gaugestep_config::schema::{Plan, Refusal};
@@ -36,7 +36,7 @@
 
     /// A control server that starts with a rollout in progress in its store.
     fn recovered(now: Timestamp, number: u64, plan: Plan) -> Self {
-        let stored = StoredRollout { number, plan, state: State::Rolling, rolls_back_to: 0 };
+        let stored = StoredRollout { number, plan, state: State::Rolling, purpose: Purpose::Change };
         Fleet { rollout: Rollout::recover(now, [stored]), now }
     }
 
@@ -65,7 +65,7 @@
     }
 
     fn publish(&mut self, number: u64, plan: Plan) -> Vec<Action> {
-        self.handle(Event::Published { number, plan, rolls_back_to: 0 })
+        self.handle(Event::Published { number, plan, purpose: Purpose::Change })
     }
 
     /// Responds to all offers among the actions and to the offers that follow from the responses; returns the
@@ -204,7 +204,7 @@
     );
     assert_eq!(fleet.rollout.state(2), Some(State::Halted));
     assert_eq!(offers(&fleet.handle(Event::Tick), 2), 0);
-    let back = fleet.handle(Event::Published { number: 3, plan: staged_plan(), rolls_back_to: 1 });
+    let back = fleet.handle(Event::Published { number: 3, plan: staged_plan(), purpose: Purpose::RollBack });
     assert_eq!(offers(&back, 3), 10, "a rollback is offered to all at once");
     let ended = fleet.respond(back, Some("no-usable-engine"));
     assert!(!ended.iter().any(is_rollback), "a rollback is never rolled back: {ended:?}");
--- a/crates/control-plane/src/server/rollout_driver.rs
+++ b/crates/control-plane/src/server/rollout_driver.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use gaugestep_clock::Timestamp;
-use gaugestep_config::rollout::{Action, ConnectedProxy, Event, ReportedVersion, Rollout, StoredRollout};
+use gaugestep_config::rollout::{
+    Action, ConnectedProxy, Event, Purpose, ReportedVersion, Rollout, StoredRollout,
+};
 use gaugestep_config::schema::act::What;
 use gaugestep_config::schema::entry::State;
-use gaugestep_config::schema::{Answer, Hello, Keep, NewState, NewVersion, Plan, Progress, from_service};
+use gaugestep_config::schema::{
+    Answer, Entry, Hello, Keep, NewState, NewVersion, Plan, Progress, from_service,
+};
 use gaugestep_config::short_digest;
 use gaugestep_leadership::CONFIGURATION_ROLE;
 use gaugestep_leadership::checkpoint::CheckpointBarrier;
@@ -23,6 +27,8 @@
 
 /// The author of versions that the server publishes for an automatic rollback.
 const SERVER_AUTHOR: &str = "gaugestep-control";
+/// The start of the idempotency key of an automatic rollback; the number of the halted version follows.
+const ROLLBACK_KEY_PREFIX: &str = "halted-";
 
 /// An offer that the rollout has decided to send.
 struct PlannedOffer {
@@ -59,7 +65,7 @@
                     number: version_number(entry),
                     plan: entry.plan.unwrap_or_default(),
                     state: entry.state(),
-                    rolls_back_to: entry.rolls_back_to,
+                    purpose: purpose(entry),
                 }
             });
             let role = group.roles.get(CONFIGURATION_ROLE).cloned().unwrap_or_default();
@@ -86,8 +92,8 @@
         let digest = entry.version.as_ref().map(|version| short_digest(&version.digest)).unwrap_or_default();
         let (term, rolls_back_to) = (state.rollout_lease.acting_term, entry.rolls_back_to);
         tracing::info!(version = number, digest, term, rolls_back_to, "version published");
-        let plan = entry.plan.unwrap_or_default();
-        self.handle_rollout_event(state, Event::Published { number, plan, rolls_back_to });
+        let (plan, purpose) = (entry.plan.unwrap_or_default(), purpose(&entry));
+        self.handle_rollout_event(state, Event::Published { number, plan, purpose });
     }
 
     /// Removes versions from the rollout that the group no longer retains.
@@ -265,7 +271,7 @@
             rolls_back_to: restored,
             // The key deduplicates publications: if two lease holders propose the rollback, it is published
             // once.
-            key: format!("halted-{halted}"),
+            key: format!("{ROLLBACK_KEY_PREFIX}{halted}"),
             ..NewVersion::default()
         }
     }
@@ -312,6 +318,13 @@
     }
 }
 
+/// Why a version was published. An automatic rollback to the empty document restores no version, and is
+/// recognised by its author and key.
+fn purpose(entry: &Entry) -> Purpose {
+    let is_automatic = entry.author == SERVER_AUTHOR && entry.key.starts_with(ROLLBACK_KEY_PREFIX);
+    if entry.rolls_back_to > 0 || is_automatic { Purpose::RollBack } else { Purpose::Change }
+}
+
 fn log_progress(checkpoint: &Keep, term: u64, committed: bool) {
     let progress = Progress::decode(checkpoint.state.as_slice()).unwrap_or_default();
     let (version, step, rejections) = (progress.number, progress.step, progress.against.len());
--- a/tests/configuration/rollouts.rs
+++ b/tests/configuration/rollouts.rs
@@ -112,3 +112,24 @@
     proxy.restart();
     wait_until("the restarted proxy applies the rollback", || in_force(&proxy) == 5);
 }
+
+/// Guards against rollbacks that are halted and rolled back in turn, without end.
+#[test]
+fn a_rollback_to_the_empty_document_is_not_rolled_back_in_turn() {
+    let (control, folder) = (ControlServer::start(), tempfile::tempdir().unwrap());
+    let operator = Some(control.write_operator_file(&state_folder(&folder)));
+    let proxy = Launch { operator, ..Launch::new(&[]) }.start();
+    wait_until("the proxy follows", || control.proxy_status("n0")["connected"] == true);
+    // A folder of this name keeps the proxy from storing any version.
+    std::fs::create_dir(state_folder(&folder).join("staged")).unwrap();
+    let version = control.publish("limits { max_open: 33 }", &[]);
+    let rollback = version + 1;
+    wait_until("the rollback is rejected", || {
+        control.proxy_status("n0")["refused"].as_u64().is_some_and(|rejected| rejected >= rollback)
+    });
+    let entry = control.run_json(&["show", &rollback.to_string()]);
+    assert_eq!(entry["state"], "complete", "{entry}");
+    assert_eq!(control.run_json(&["status"])["newest"], rollback);
+    assert_eq!(in_force(&proxy), 0);
+    assert_eq!(control.proxy_status("n0")["refusal"]["code"], "not-stored");
+}
