--- a/crates/leadership/src/lease/grantor.rs
+++ b/crates/leadership/src/lease/grantor.rs
@@ -76,6 +76,10 @@
     leading_since: Option<Timestamp>,
     /// The time of the last lease request of each member.
     last_request: BTreeMap<u64, Timestamp>,
+    /// The voting members at the last tick.
+    voters: BTreeSet<u64>,
+    /// When the leases of all members that were removed under this leader have expired.
+    former_leases_expire_at: Option<Timestamp>,
     /// Requests that arrived after the last confirmation was started.
     unconfirmed: Vec<LeaseRequest>,
     /// Requests that are granted when the confirmation under way succeeds.
@@ -93,6 +97,8 @@
             timing,
             leading_since: None,
             last_request: BTreeMap::new(),
+            voters: BTreeSet::new(),
+            former_leases_expire_at: None,
             unconfirmed: Vec::new(),
             confirming_requests: Vec::new(),
             confirmation: None,
@@ -167,6 +173,7 @@
         if self.leading_since.is_none() {
             return Vec::new();
         }
+        self.update_voters(members);
         let mut actions = Vec::from_iter(self.next_confirmation(now));
         // Only members that requested a lease are assigned roles. A member whose lease may not have expired
         // keeps its roles.
@@ -177,10 +184,13 @@
             .collect();
         let any_holder_silent = holders.values().flatten().any(|holder| !live.contains(holder));
         for reassignment in rebalance(&holders, &live) {
-            let Some(RoleHolder { member, term }) = roles.get(&reassignment.role).copied() else { continue };
+            let Some(holder) = roles.get(&reassignment.role).copied() else { continue };
+            let RoleHolder { member, term } = holder;
             let has_holder = holders.get(&reassignment.role).copied().flatten().is_some();
             // Roles are not rebalanced while a holder is silent, because it may return at any time.
-            if has_holder && any_holder_silent || !self.may_propose(now, &reassignment.role, term) {
+            let must_wait =
+                if has_holder { any_holder_silent } else { self.former_member_may_act(now, holder, members) };
+            if must_wait || !self.may_propose(now, &reassignment.role, term) {
                 continue;
             }
             let Reassignment { role, from, to } = reassignment;
@@ -199,6 +209,28 @@
         since.is_some_and(|since| now.duration_since(since) < self.timing.expiry_grace())
     }
 
+    /// Records which members were removed since the last tick, and when their leases have expired.
+    fn update_voters(&mut self, members: &BTreeSet<u64>) {
+        for former in self.voters.difference(members) {
+            let since = self.last_request.remove(former).or(self.leading_since);
+            let expires_at = since.map(|since| since + self.timing.expiry_grace());
+            self.former_leases_expire_at = self.former_leases_expire_at.max(expires_at);
+        }
+        self.voters.clone_from(members);
+    }
+
+    /// Whether a member that was removed may still act for this role, because it holds the lease under which it
+    /// was the holder. A new leader does not know which members were removed when, and waits for all of them.
+    ///
+    /// A lease that is granted after the removal was committed needs no waiting: the removed member must apply
+    /// its removal before it acts under that lease.
+    fn former_member_may_act(&self, now: Timestamp, holder: RoleHolder, members: &BTreeSet<u64>) -> bool {
+        let was_held = holder.term > 0;
+        let unknown_leases_expire_at = self.leading_since.map(|since| since + self.timing.expiry_grace());
+        let expires_at = self.former_leases_expire_at.max(unknown_leases_expire_at);
+        was_held && !members.contains(&holder.member) && expires_at.is_some_and(|at| now < at)
+    }
+
     /// The holder of a role if it is a member whose lease may not have expired; otherwise `None`.
     fn current_holder(&self, now: Timestamp, holder: u64, members: &BTreeSet<u64>) -> Option<u64> {
         let is_current = holder != NO_MEMBER && members.contains(&holder) && self.may_hold_lease(now, holder);
--- a/crates/leadership/tests/fleet.rs
+++ b/crates/leadership/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! A seeded simulation of members, role holders and receivers with these faults: processes are suspended at
-//! any point, clocks run at different rates, links lose and delay messages or are cut, and the leader
-//! changes. The replicated log is a single list, which grows only while the leader reaches a majority; other
+//! any point, clocks run at different rates, links lose and delay messages or are cut, the leader changes,
+//! and members are removed. The replicated log is a single list, which grows only while the leader reaches a majority; other
 //! tests cover the Raft library with processes.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,10 +12,13 @@
 use gaugestep_leadership::fencing::{FencingAction, FencingGuard, PersistError};
 use gaugestep_leadership::group_state::{Command, GroupState, Outcome};
 use gaugestep_leadership::lease::{LeaseAction, LeaseGrantor, LeaseSession, LeaseTiming};
-use gaugestep_leadership::{CONFIGURATION_ROLE, ORDINALS_ROLE, RoleHolder};
+use gaugestep_leadership::{CONFIGURATION_ROLE, NO_MEMBER, ORDINALS_ROLE, RoleHolder};
 use oorandom::Rand64;
 
+/// The members of a fleet that no member is removed from.
 const MEMBERS: u64 = 3;
+/// The members of a fleet from which members are removed until [`MEMBERS`] are left.
+const MEMBERS_BEFORE_REMOVALS: u64 = 5;
 const RECEIVERS: usize = 3;
 /// The simulated duration of one step.
 const STEP_MS: f64 = 20.0;
@@ -35,6 +38,16 @@
     NoExpiryGrace,
     /// A holder that hands a role over acts until it applies the change of holder.
     LateResignation,
+    /// A leader treats the roles of a removed member as if they had never been held.
+    NoWaitAfterRemoval,
+}
+
+/// An entry of the replicated log.
+#[derive(Clone)]
+enum LogEntry {
+    Command(Box<Command>),
+    /// The member of this number is removed.
+    Removal(u64),
 }
 
 /// A message between members and receivers.
@@ -78,6 +91,8 @@
     /// Messages that were rejected for any reason.
     rejected: u64,
     accepted: u64,
+    /// Removals of members that could act for a role at that time.
+    holders_removed: u64,
     /// State changes by commands that member 1 applied as the last entry of the log.
     state_changes: u64,
 }
@@ -88,9 +103,11 @@
     now_ms: f64,
     bug: Bug,
     nodes: Vec<Node>,
-    /// The committed commands.
-    log: Vec<Command>,
+    /// The committed entries.
+    log: Vec<LogEntry>,
     leader: Option<usize>,
+    /// The members that were removed. They are not notified, and run on.
+    removed: BTreeSet<usize>,
     /// Links that lose every message, as pairs of sender and recipient.
     cut_links: BTreeSet<(usize, usize)>,
     /// Messages in flight, with the time of arrival in milliseconds.
@@ -102,11 +119,11 @@
 }
 
 impl Fleet {
-    fn new(seed: u64, bug: Bug) -> Self {
+    fn new(seed: u64, bug: Bug, members: u64) -> Self {
         let mut random = Rand64::new(seed.into());
         let member = |number| Member { number, ..Member::default() };
         let mut group_state = GroupState::single_member(1, member(1), BTreeMap::new());
-        for number in 2..=MEMBERS {
+        for number in 2..=members {
             group_state.add_member(member(number));
         }
         for role in ROLES {
@@ -131,12 +148,13 @@
             suspended_until_ms: 0.0,
         };
         Fleet {
-            nodes: (0..MEMBERS).map(node).collect(),
+            nodes: (0..members).map(node).collect(),
             random,
             now_ms: 0.0,
             bug,
             log: Vec::new(),
             leader: None,
+            removed: BTreeSet::new(),
             cut_links: BTreeSet::new(),
             messages_in_flight: Vec::new(),
             receivers: (0..RECEIVERS).map(|_| FencingGuard::new(BTreeMap::new())).collect(),
@@ -162,11 +180,13 @@
     /// Whether a member exchanges messages with a majority.
     fn reaches_majority(&self, node: usize) -> bool {
         let exchanges_messages = |other: &usize| {
-            self.nodes[*other].suspended_until_ms <= self.now_ms
+            !self.removed.contains(other)
+                && self.nodes[*other].suspended_until_ms <= self.now_ms
                 && self.reaches(node, *other)
                 && self.reaches(*other, node)
         };
-        (0..self.nodes.len()).filter(exchanges_messages).count() > self.nodes.len() / 2
+        let voters = self.nodes.len() - self.removed.len();
+        !self.removed.contains(&node) && (0..self.nodes.len()).filter(exchanges_messages).count() > voters / 2
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message) {
@@ -180,13 +200,50 @@
     /// Commits a command if its proposer reaches the leader and the leader reaches a majority.
     fn propose(&mut self, from: usize, command: Command) {
         if self.leader.is_some_and(|leader| self.reaches_majority(leader) && self.reaches(from, leader)) {
-            self.log.push(Command { by: from as u64 + 1, ..command });
+            let command = Box::new(Command { by: from as u64 + 1, ..command });
+            self.log.push(LogEntry::Command(command));
+        }
+    }
+
+    /// Commits the removal of a member that may be suspended or cut off, if the leader reaches a majority.
+    fn remove(&mut self, node: usize) {
+        let is_committed = self.leader.is_some_and(|leader| self.reaches_majority(leader));
+        if !is_committed || !self.removed.insert(node) {
+            return;
+        }
+        self.counters.holders_removed += u64::from(ROLES.iter().any(|role| self.may_act(node, role)));
+        self.log.push(LogEntry::Removal(node as u64 + 1));
+        self.leader = self.leader.filter(|leader| *leader != node);
+    }
+
+    /// Removes the holder of a role or any member, until [`MEMBERS`] are left.
+    fn inject_removal(&mut self) {
+        let remaining = self.nodes.len() - self.removed.len();
+        if remaining <= MEMBERS as usize || self.random_below(150) > 0 {
+            return;
         }
+        let holder = (0..self.nodes.len()).find(|node| self.may_act(*node, ROLES[0]));
+        let any = self.random_below(self.nodes.len() as u64) as usize;
+        let node = holder.filter(|_| self.random_below(4) > 0).unwrap_or(any);
+        match self.random_below(4) {
+            0 => self.nodes[node].suspended_until_ms = self.now_ms + self.random.rand_float() * 3_000.0,
+            1 => self.cut_links.extend((0..self.nodes.len()).map(|other| (other, node))),
+            _ => {}
+        }
+        self.remove(node);
+    }
+
+    /// Whether a member may act for a role, as far as it knows.
+    fn may_act(&self, node: usize, role: &str) -> bool {
+        let Node { session, group_state, applied, .. } = &self.nodes[node];
+        let holder = group_state.holder(role);
+        let is_holder = holder.member == node as u64 + 1;
+        is_holder && session.may_act(self.clock(node), *applied as u64, role, holder.term)
     }
 
     fn inject_fault(&mut self) {
-        let node = self.random_below(MEMBERS) as usize;
-        let other = self.random_below(MEMBERS) as usize;
+        let node = self.random_below(self.nodes.len() as u64) as usize;
+        let other = self.random_below(self.nodes.len() as u64) as usize;
         match self.random_below(600) {
             0..3 => {
                 let resume_ms = self.now_ms + 200.0 + self.random.rand_float() * 9_000.0;
@@ -225,6 +282,7 @@
     fn step(&mut self) {
         self.now_ms += STEP_MS;
         self.inject_fault();
+        self.inject_removal();
         let messages = std::mem::take(&mut self.messages_in_flight);
         let (due, later): (Vec<_>, Vec<_>) =
             messages.into_iter().partition(|(arrival_ms, _)| *arrival_ms <= self.now_ms);
@@ -238,13 +296,7 @@
             }
         }
         for role in ROLES {
-            let acting = (0..self.nodes.len()).filter(|node| {
-                let now = self.clock(*node);
-                let Node { session, group_state, applied, .. } = &self.nodes[*node];
-                let holder = group_state.holder(role);
-                let is_holder = holder.member == *node as u64 + 1;
-                is_holder && session.may_act(now, *applied as u64, role, holder.term)
-            });
+            let acting = (0..self.nodes.len()).filter(|node| self.may_act(*node, role));
             self.counters.two_holders += u64::from(acting.count() > 1);
         }
     }
@@ -288,11 +340,17 @@
         self.counters.accepted += 1;
     }
 
-    fn run_node(&mut self, node: usize) {
-        // The member applies the committed entries if the leader reaches it.
-        if self.leader.is_some_and(|leader| self.reaches(leader, node)) {
+    /// Applies the committed entries if the leader reaches the member.
+    fn apply_committed(&mut self, node: usize) {
+        if !self.removed.contains(&node) && self.leader.is_some_and(|leader| self.reaches(leader, node)) {
             for index in self.nodes[node].applied..self.log.len() {
-                let command = self.log[index].clone();
+                let command = match self.log[index].clone() {
+                    LogEntry::Command(command) => command,
+                    LogEntry::Removal(member) => {
+                        self.nodes[node].group_state.remove_member(member);
+                        continue;
+                    }
+                };
                 let (outcome, changes) = self.nodes[node].group_state.apply(&command);
                 let is_counted = index + 1 == self.log.len() && node == 0;
                 if is_counted && outcome == Outcome::Applied {
@@ -301,6 +359,10 @@
             }
             self.nodes[node].applied = self.log.len();
         }
+    }
+
+    fn run_node(&mut self, node: usize) {
+        self.apply_committed(node);
         let clock = self.clock(node);
         if let (Some(number), Some(leader)) = (self.nodes[node].session.next_request(clock), self.leader) {
             self.send(node, leader, Message::RequestLease { member: node as u64 + 1, number });
@@ -308,8 +370,8 @@
         let leads = self.leader == Some(node) && self.nodes[node].applied == self.log.len();
         self.nodes[node].grantor.set_leading(clock, leads);
         let declared = self.nodes[node].group_state.roles.keys();
-        let roles = declared.map(|role| (role.clone(), self.nodes[node].group_state.holder(role))).collect();
-        let members: BTreeSet<u64> = (1..=MEMBERS).collect();
+        let roles = declared.map(|role| (role.clone(), self.holder_seen_by_leader(node, role))).collect();
+        let members: BTreeSet<u64> = self.nodes[node].group_state.members.keys().copied().collect();
         let actions = self.nodes[node].grantor.tick(clock, &roles, &members);
         self.carry_out(node, actions);
         let own_number = node as u64 + 1;
@@ -348,6 +410,15 @@
         }
     }
 
+    /// The holder of a role as a leader passes it to its grantor.
+    fn holder_seen_by_leader(&self, node: usize, role: &str) -> RoleHolder {
+        let holder = self.nodes[node].group_state.holder(role);
+        if self.bug == Bug::NoWaitAfterRemoval && holder.member == NO_MEMBER {
+            return RoleHolder::default();
+        }
+        holder
+    }
+
     fn hand_over(&mut self, from: usize, role: &str, term: u64, to: u64) {
         let clock = self.clock(from);
         if self.bug != Bug::LateResignation {
@@ -375,7 +446,8 @@
                         Message::GrantLease { member, number, committed_index },
                     );
                 }
-                LeaseAction::Assign { role, term, to } => {
+                LeaseAction::Assign { role, to, .. } => {
+                    let term = self.nodes[node].group_state.holder(&role).term;
                     self.propose(
                         node,
                         Command { duty: role, term, what: Some(What::Assign(to)), ..Command::default() },
@@ -396,13 +468,22 @@
 
 /// Runs the simulation for 4000 steps, which are 80 simulated seconds.
 fn simulate(seed: u64, bug: Bug) -> Counters {
-    let mut fleet = Fleet::new(seed, bug);
+    let mut fleet = Fleet::new(seed, bug, MEMBERS);
     for _ in 0..4_000 {
         fleet.step();
     }
     fleet.counters
 }
 
+/// Runs a simulation of 16 simulated seconds in which two of five members are removed.
+fn simulate_removals(seed: u64, bug: Bug) -> Counters {
+    let mut fleet = Fleet::new(seed, bug, MEMBERS_BEFORE_REMOVALS);
+    for _ in 0..800 {
+        fleet.step();
+    }
+    fleet.counters
+}
+
 /// Without a bug, no fault lets two members act for one role or lets a receiver accept a message with a stale
 /// term.
 #[test]
@@ -419,6 +500,25 @@
     assert_eq!(simulate(7, Bug::None), simulate(7, Bug::None), "a run with the same seed is identical");
 }
 
+/// Guards against a removed holder that acts beside its successor, whether it is slow, suspended or cut off.
+#[test]
+fn removed_members_never_act_beside_their_successors() {
+    const THREADS: u64 = 4;
+    let holders_removed = |seed| {
+        let counters = simulate_removals(seed, Bug::None);
+        assert_eq!((counters.two_holders, counters.stale_accepted), (0, 0), "seed {seed}: {counters:?}");
+        counters.holders_removed
+    };
+    let total: u64 = std::thread::scope(|scope| {
+        let seeds_of = |thread| (thread..1_000).step_by(THREADS as usize);
+        let threads: Vec<_> = (0..THREADS)
+            .map(|thread| scope.spawn(move || seeds_of(thread).map(holders_removed).sum::<u64>()))
+            .collect();
+        threads.into_iter().map(|thread| thread.join().expect("a thread has failed")).sum()
+    });
+    assert!(total > 500, "{total} holders were removed");
+}
+
 /// Fencing does not depend on leases: no stale message is accepted if holders ignore their leases or clocks
 /// exceed the drift bound.
 #[test]
@@ -444,4 +544,5 @@
     assert!(detected(Bug::NoChecks, |counters| counters.stale_accepted > 0));
     assert!(detected(Bug::NoExpiryGrace, |counters| counters.two_holders > 0));
     assert!(detected(Bug::LateResignation, |counters| counters.two_holders > 0));
+    assert!((0..20).any(|seed| simulate_removals(seed, Bug::NoWaitAfterRemoval).two_holders > 0));
 }
--- a/crates/leadership/tests/lease.rs
+++ b/crates/leadership/tests/lease.rs
@@ -1,8 +1,8 @@
 //! Leases: when a member may act for its roles, and when the roles are assigned to other members.
 
 use gaugestep_clock::Timestamp;
-use gaugestep_leadership::RoleHolder;
 use gaugestep_leadership::lease::{LeaseAction, LeaseGrantor, LeaseSession, LeaseTiming};
+use gaugestep_leadership::{NO_MEMBER, RoleHolder};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -102,6 +102,66 @@
     assert_eq!(move_count(&grantor.tick(expiry + tick, &roles, &members)), 0, "proposed already");
 }
 
+/// Guards against a successor that acts while the lease of a removed holder is still valid.
+#[test]
+fn the_roles_of_a_removed_member_are_assigned_once_its_lease_has_expired_on_any_clock() {
+    let timing = LeaseTiming::default();
+    let tick = Duration::from_millis(1);
+    let mut grantor = LeaseGrantor::new(timing);
+    grantor.set_leading(at(0), true);
+    for member in [1, 2, 3] {
+        grantor.on_request(at(9_000), member, 1);
+    }
+    let (all, remaining) = (BTreeSet::from([1, 2, 3]), BTreeSet::from([1, 3]));
+    let is_assignment = |action: &LeaseAction| matches!(action, LeaseAction::Assign { .. });
+    let held = roles(&[2, 1, 3]);
+    assert!(!grantor.tick(at(9_010), &held, &all).iter().any(is_assignment));
+    // Member 2 is removed: its role has a new term and no holder.
+    let mut vacated = held;
+    vacated.insert("d0".into(), RoleHolder { member: NO_MEMBER, term: 2 });
+    for member in [1, 2, 3] {
+        grantor.on_request(at(10_000), member, 2);
+    }
+    let expiry = at(10_000) + timing.expiry_grace();
+    assert!(!grantor.tick(at(10_020), &vacated, &remaining).iter().any(is_assignment));
+    for member in [1, 2, 3] {
+        grantor.on_request(at(11_000), member, 3);
+    }
+    assert!(!grantor.tick(expiry - tick, &vacated, &remaining).iter().any(is_assignment));
+    // Requests of the removed member do not prolong the wait.
+    let actions = grantor.tick(expiry, &vacated, &remaining);
+    assert!(
+        actions.iter().any(|action| matches!(action, LeaseAction::Assign { term: 2, .. })),
+        "{actions:?}"
+    );
+}
+
+/// Guards against a new leader that assigns the role of a removed holder whose lease it did not grant.
+#[test]
+fn a_new_leader_assigns_a_vacated_role_after_the_grace_and_one_that_was_never_held_at_once() {
+    let timing = LeaseTiming::default();
+    let tick = Duration::from_millis(1);
+    let mut grantor = LeaseGrantor::new(timing);
+    let members = BTreeSet::from([1, 3]);
+    grantor.set_leading(at(0), true);
+    grantor.on_request(at(1), 1, 1);
+    let vacant = |name: &str, term| (name.to_owned(), RoleHolder { member: NO_MEMBER, term });
+    let roles = BTreeMap::from([vacant("never held", 0), vacant("vacated", 5)]);
+    let assigned = |actions: &[LeaseAction]| -> Vec<String> {
+        let role = |action: &LeaseAction| match action {
+            LeaseAction::Assign { role, .. } => Some(role.clone()),
+            _ => None,
+        };
+        actions.iter().filter_map(role).collect()
+    };
+    let expiry = at(0) + timing.expiry_grace();
+    assert_eq!(assigned(&grantor.tick(at(2), &roles, &members)), ["never held"]);
+    grantor.on_request(at(1_500), 1, 2);
+    let vacated = BTreeMap::from([vacant("vacated", 5)]);
+    assert!(assigned(&grantor.tick(expiry - tick, &vacated, &members)).is_empty());
+    assert_eq!(assigned(&grantor.tick(expiry, &vacated, &members)), ["vacated"]);
+}
+
 #[test]
 fn roles_are_rebalanced_to_a_new_member_and_an_unconfirmed_leader_grants_no_lease() {
     let mut grantor = LeaseGrantor::new(LeaseTiming::default());
