--- a/crates/leadership/src/lease/grantor.rs
+++ b/crates/leadership/src/lease/grantor.rs
@@ -66,6 +66,8 @@
 struct ProposedMove {
     term: u64,
     proposed_at: Timestamp,
+    /// The member whose role is assigned to another one without its consent; `None` for a hand-over.
+    replaces: Option<u64>,
 }
 
 /// Grants leases while this member leads.
@@ -120,9 +122,12 @@
         };
     }
 
-    /// Handles the lease request of a member. Ignored unless this member leads.
+    /// Handles the lease request of a member. Ignored unless this member leads, and while the assignment of a
+    /// role of that member to another one may still be committed: the member would act beside its successor.
     pub fn on_request(&mut self, now: Timestamp, member: u64, number: u64) {
-        if self.leading_since.is_some() && self.unconfirmed.len() < MAX_UNCONFIRMED_REQUESTS {
+        let is_replaced = self.proposed_moves.values().any(|proposed| proposed.replaces == Some(member));
+        let has_room = self.unconfirmed.len() < MAX_UNCONFIRMED_REQUESTS;
+        if self.leading_since.is_some() && has_room && !is_replaced {
             self.last_request.insert(member, now);
             self.unconfirmed.push(LeaseRequest { member, number });
         }
@@ -174,6 +179,8 @@
             return Vec::new();
         }
         self.update_voters(members);
+        self.proposed_moves
+            .retain(|role, proposed| roles.get(role).is_some_and(|holder| holder.term == proposed.term));
         let mut actions = Vec::from_iter(self.next_confirmation(now));
         // Only members that requested a lease are assigned roles. A member whose lease may not have expired
         // keeps its roles.
@@ -190,16 +197,17 @@
             // Roles are not rebalanced while a holder is silent, because it may return at any time.
             let must_wait =
                 if has_holder { any_holder_silent } else { self.former_member_may_act(now, holder, members) };
-            if must_wait || !self.may_propose(now, &reassignment.role, term) {
+            let Reassignment { role, from, to } = reassignment;
+            let replaces = (from.is_none() && member != NO_MEMBER).then_some(member);
+            let proposed = ProposedMove { term, proposed_at: now, replaces };
+            if must_wait || !self.may_propose(&role, proposed) {
                 continue;
             }
-            let Reassignment { role, from, to } = reassignment;
             actions.push(match from {
                 None => LeaseAction::Assign { role, term, to },
                 Some(_) => LeaseAction::RequestHandOver { role, term, from: member, to },
             });
         }
-        self.proposed_moves.retain(|role, _| roles.contains_key(role));
         actions
     }
 
@@ -237,14 +245,15 @@
         is_current.then_some(holder)
     }
 
-    /// Whether a change of the holder of this role may be proposed now: the same change must not have been
-    /// proposed within the retry interval. Records the proposal if it may.
-    fn may_propose(&mut self, now: Timestamp, role: &str, term: u64) -> bool {
-        let just_proposed = self.proposed_moves.get(role).is_some_and(|proposed| {
-            proposed.term == term && now.duration_since(proposed.proposed_at) < self.timing.retry_interval
+    /// Whether a change of the holder of this role may be proposed now: no other one must have been proposed
+    /// under the same term within the retry interval. Records the proposal if it may.
+    fn may_propose(&mut self, role: &str, proposed: ProposedMove) -> bool {
+        let just_proposed = self.proposed_moves.get(role).is_some_and(|last| {
+            let since_last = proposed.proposed_at.duration_since(last.proposed_at);
+            last.term == proposed.term && since_last < self.timing.retry_interval
         });
         if !just_proposed {
-            self.proposed_moves.insert(role.to_owned(), ProposedMove { term, proposed_at: now });
+            self.proposed_moves.insert(role.to_owned(), proposed);
         }
         !just_proposed
     }
--- a/crates/leadership/tests/fleet.rs
+++ b/crates/leadership/tests/fleet.rs
@@ -1,9 +1,9 @@
 //! A seeded simulation of members, role holders and receivers with these faults: processes are suspended at
 //! any point, clocks run at different rates, links lose and delay messages or are cut, the leader changes,
-//! and members are removed. The replicated log is a single list, which grows only while the leader reaches a majority; other
-//! tests cover the Raft library with processes.
+//! and members are removed. The replicated log is a single list, which grows after a delay and only while the
+//! leader reaches a majority; other tests cover the Raft library with processes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use gaugestep_clock::Timestamp;
@@ -105,6 +105,9 @@
     nodes: Vec<Node>,
     /// The committed entries.
     log: Vec<LogEntry>,
+    /// Entries that the leader has appended, in order, with the times in milliseconds at which they are
+    /// committed.
+    appended: VecDeque<(f64, LogEntry)>,
     leader: Option<usize>,
     /// The members that were removed. They are not notified, and run on.
     removed: BTreeSet<usize>,
@@ -153,6 +156,7 @@
             now_ms: 0.0,
             bug,
             log: Vec::new(),
+            appended: VecDeque::new(),
             leader: None,
             removed: BTreeSet::new(),
             cut_links: BTreeSet::new(),
@@ -197,11 +201,31 @@
         }
     }
 
-    /// Commits a command if its proposer reaches the leader and the leader reaches a majority.
+    /// Appends a command if its proposer reaches the leader and the leader reaches a majority.
     fn propose(&mut self, from: usize, command: Command) {
         if self.leader.is_some_and(|leader| self.reaches_majority(leader) && self.reaches(from, leader)) {
             let command = Box::new(Command { by: from as u64 + 1, ..command });
-            self.log.push(LogEntry::Command(command));
+            self.append(LogEntry::Command(command));
+        }
+    }
+
+    /// Appends an entry, which is committed after a delay, and after all entries before it.
+    fn append(&mut self, entry: LogEntry) {
+        let max_delay_ms = if self.random_below(4) == 0 { 1_000.0 } else { 20.0 };
+        let delay_ms = self.random.rand_float() * max_delay_ms;
+        self.appended.push_back((self.now_ms + delay_ms, entry));
+    }
+
+    fn commit_all(&mut self) {
+        self.log.extend(self.appended.drain(..).map(|(_, entry)| entry));
+    }
+
+    /// Commits the entries that are due while the leader reaches a majority. A new leader commits all entries
+    /// of its predecessor before it leads.
+    fn commit(&mut self) {
+        let can_commit = self.leader.is_some_and(|leader| self.reaches_majority(leader));
+        while can_commit && self.appended.front().is_some_and(|(due_ms, _)| *due_ms <= self.now_ms) {
+            self.log.extend(self.appended.pop_front().map(|(_, entry)| entry));
         }
     }
 
@@ -212,6 +236,7 @@
             return;
         }
         self.counters.holders_removed += u64::from(ROLES.iter().any(|role| self.may_act(node, role)));
+        self.commit_all();
         self.log.push(LogEntry::Removal(node as u64 + 1));
         self.leader = self.leader.filter(|leader| *leader != node);
     }
@@ -273,9 +298,15 @@
             !self.reaches_majority(leader) || self.nodes[leader].suspended_until_ms > self.now_ms
         });
         if needs_election && self.random_below(40) == 0 {
+            self.commit_all();
             self.leader = (0..self.nodes.len()).find(|node| {
                 self.reaches_majority(*node) && self.nodes[*node].suspended_until_ms <= self.now_ms
             });
+            // A member that leads again has stepped down before it was elected.
+            if let Some(leader) = self.leader {
+                let clock = self.clock(leader);
+                self.nodes[leader].grantor.set_leading(clock, false);
+            }
         }
     }
 
@@ -283,6 +314,7 @@
         self.now_ms += STEP_MS;
         self.inject_fault();
         self.inject_removal();
+        self.commit();
         let messages = std::mem::take(&mut self.messages_in_flight);
         let (due, later): (Vec<_>, Vec<_>) =
             messages.into_iter().partition(|(arrival_ms, _)| *arrival_ms <= self.now_ms);
--- a/crates/leadership/tests/lease.rs
+++ b/crates/leadership/tests/lease.rs
@@ -162,6 +162,38 @@
     assert_eq!(assigned(&grantor.tick(expiry, &vacated, &members)), ["vacated"]);
 }
 
+/// Guards against a silent holder that gets a new lease while its role is already being assigned to another.
+#[test]
+fn a_member_gets_no_lease_while_the_assignment_of_its_role_to_another_may_be_committed() {
+    let timing = LeaseTiming::default();
+    let mut grantor = LeaseGrantor::new(timing);
+    let members = BTreeSet::from([1, 2]);
+    let expiry = Timestamp::ORIGIN + timing.expiry_grace();
+    let after = |millis| expiry + Duration::from_millis(millis);
+    // Requests a lease for a member, and returns whether it is granted.
+    let request = |grantor: &mut LeaseGrantor, now, member, number| {
+        grantor.on_request(now, member, number);
+        let Some(LeaseAction::ConfirmLeadership(confirmation)) = grantor.next_confirmation(now) else {
+            return false;
+        };
+        grantor.on_confirmed(confirmation).contains(&LeaseAction::Grant { member, number })
+    };
+    grantor.set_leading(at(0), true);
+    assert!(request(&mut grantor, at(1_000), 1, 1));
+    let actions = grantor.tick(expiry, &roles(&[2]), &members);
+    assert!(matches!(&actions[..], [LeaseAction::Assign { term: 1, to: 1, .. }]), "{actions:?}");
+    assert!(!request(&mut grantor, after(1), 2, 1), "the assignment may still be committed");
+    assert!(grantor.tick(after(2), &roles(&[2]), &members).is_empty());
+    assert!(request(&mut grantor, after(3), 1, 2), "other members are not affected");
+    assert!(!request(&mut grantor, after(1_999), 2, 2));
+    let actions = grantor.tick(after(2_000), &roles(&[2]), &members);
+    assert!(matches!(&actions[..], [LeaseAction::Assign { .. }]), "proposed again: {actions:?}");
+    // The assignment is committed: the role has a new holder and the next term.
+    let assigned = BTreeMap::from([("d0".to_owned(), RoleHolder { member: 1, term: 2 })]);
+    grantor.tick(after(2_010), &assigned, &members);
+    assert!(request(&mut grantor, after(2_020), 2, 3));
+}
+
 #[test]
 fn roles_are_rebalanced_to_a_new_member_and_an_unconfirmed_leader_grants_no_lease() {
     let mut grantor = LeaseGrantor::new(LeaseTiming::default());
