--- a/crates/control-plane/src/raft/driver/persistence.rs
+++ b/crates/control-plane/src/raft/driver/persistence.rs
@@ -9,6 +9,7 @@
 use super::RaftDriver;
 use crate::failpoints;
 use crate::raft::error::ReplicaError;
+use crate::raft::member_starts::member_starts;
 use crate::raft::request::Request;
 use crate::raft::{codec, stored_values};
 use gaugestep_config::schema::peer::Said;
@@ -51,12 +52,21 @@
         let committed = ready.take_committed_entries();
         self.apply(committed, &mut batch)?;
         self.store.write(&batch)?;
+        self.record_member_starts(ready.entries());
         if !ready.entries().is_empty() {
             failpoints::suspend_at("stored");
         }
         Ok(())
     }
 
+    /// Records the starts of members in entries that are on disk by now.
+    fn record_member_starts(&self, entries: &[Entry]) {
+        let starts = member_starts(entries);
+        if !starts.is_empty() {
+            self.replica.record_members(&starts);
+        }
+    }
+
     /// Handles what became ready because the entries were persisted.
     fn process_light_ready(&mut self, mut light: LightReady) -> Result<(), ReplicaError> {
         let mut batch = WriteBatch::default();
--- a/crates/control-plane/src/raft/mod.rs
+++ b/crates/control-plane/src/raft/mod.rs
@@ -13,6 +13,7 @@
 //! | [`peer_links`] | the queue of messages to each member |
 //! | [`replica`] | the handle for coroutines |
 //! | [`transport`] | streams to and from the other members |
+//! | `member_starts` | the starts of members that log entries record |
 //! | `recovery` | opens the store or rejects it, and loads its contents |
 //! | `driver` | runs the library with the store until the store fails |
 //! | [`replica_thread`] | starts the thread, and restarts the driver after a store failure |
@@ -20,6 +21,7 @@
 pub(crate) mod codec;
 pub(crate) mod driver;
 pub mod error;
+pub(crate) mod member_starts;
 pub mod peer_links;
 pub(crate) mod recovery;
 pub mod replica;
--- a/crates/control-plane/src/raft/replica_thread.rs
+++ b/crates/control-plane/src/raft/replica_thread.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::raft::driver::RaftDriver;
 use crate::raft::error::ReplicaError;
+use crate::raft::member_starts::member_starts;
 use crate::raft::recovery::{RecoveredState, process_member};
 use crate::raft::replica::{PeerTls, Replica};
 use crate::raft::request::Request;
@@ -48,6 +49,7 @@
     let mut state = ReplicaState::new(own.clone(), recovered.group.clone(), recovered.boot << 32);
     state.applied_index = recovered.log.applied_index;
     state.voters = recovered.log.membership.voters.iter().copied().collect();
+    state.peers.record(&recovered.group, &member_starts(&recovered.log.entries));
     let (sender, requests) = channel();
     let replica = Arc::new(Replica::new(settings, own, state, sender, tls));
     let thread = ReplicaThread { replica: Arc::clone(&replica), recovered, requests };
--- a/tests/leadership/identity.rs
+++ b/tests/leadership/identity.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use gaugestep_config::schema::{Fleet, Hello, call};
+use gaugestep_config::schema::{Fleet, Hello, ListMembers, call, reply};
 use gaugestep_testbed::leadership_audit::audit;
 use gaugestep_testbed::network::Partition;
 
@@ -98,6 +98,52 @@
     group.wait_until_in_force(&proxies, second);
 }
 
+/// Guards against a restored store that votes again because a killed member forgot a start that it had recorded.
+#[test]
+fn a_restored_store_is_rejected_by_a_member_that_was_killed_after_it_recorded_a_later_start() {
+    let mut group = Group::start(3);
+    group.publish_until_acknowledged("limits { max_open: 11 }", "a", single_stage());
+    group.wait_for_equal_versions();
+    let files = ["versions.redb", "versions.redb.seal"].map(|name| group.member(2).folder.join(name));
+    group.member_mut(2).suspend();
+    let snapshot = files.each_ref().map(|file| std::fs::read(file).unwrap());
+    group.member_mut(2).resume();
+    group.member_mut(2).kill();
+    group.member_mut(2).start();
+    wait_until("the other members have recorded the second start", || {
+        [1, 3].iter().all(|observer| recorded_starts(&group, *observer, 2) == Some(2))
+    });
+    // The group is idle from here on, so that nothing is written after the start was committed.
+    std::thread::sleep(Duration::from_secs(2));
+    for number in [3, 2, 1] {
+        group.member_mut(number).kill();
+    }
+    for (file, bytes) in files.iter().zip(&snapshot) {
+        std::fs::write(file, bytes).unwrap();
+    }
+    group.member_mut(3).start();
+    group.member_mut(2).start();
+    wait_until("the restored member ends", || group.member_mut(2).has_ended());
+    assert!(
+        group.member(2).log().contains("a later start of member 2 is known"),
+        "{}",
+        group.member(2).log()
+    );
+    group.member_mut(2).kill();
+    group.member_mut(1).start();
+    group.publish_until_acknowledged("limits { max_open: 12 }", "b", single_stage());
+}
+
+/// The number of starts of a member that another one has recorded.
+fn recorded_starts(group: &Group, observer: u64, number: u64) -> Option<u64> {
+    match group.member(observer).call(call::What::Members(ListMembers {})) {
+        Ok(reply::What::Members(response)) => {
+            response.members.iter().find(|member| member.number == number).map(|member| member.boot)
+        }
+        _ => None,
+    }
+}
+
 #[test]
 fn two_members_that_restart_with_swapped_addresses_are_identified_correctly() {
     let mut group = Group::start(3);
