--- a/crates/leadership/src/peer_directory.rs
+++ b/crates/leadership/src/peer_directory.rs
@@ -67,7 +67,8 @@
 #[derive(Debug)]
 pub struct PeerDirectory {
     own: Member,
-    /// Members as of starts that are later than those in the replicated state, by number.
+    /// Members as of starts that were later than those in the replicated state when they were recorded, by
+    /// number.
     newer_starts: BTreeMap<u64, Member>,
     /// The time of the last message of each member, by number.
     last_message: BTreeMap<u64, Timestamp>,
@@ -96,9 +97,8 @@
 
     /// All members, including this one, as of their latest recorded starts.
     pub fn all_members(&self, state: &GroupState) -> Vec<Member> {
-        let latest = |member: &Member| self.newer_starts.get(&member.number).unwrap_or(member).clone();
         let mut all: BTreeMap<u64, Member> =
-            state.members.values().map(|member| (member.number, latest(member))).collect();
+            state.members.iter().map(|(number, member)| (*number, self.later(member).clone())).collect();
         if has_not_joined(state) {
             all.extend(self.newer_starts.iter().map(|(number, member)| (*number, member.clone())));
         }
@@ -203,6 +203,15 @@
 
     /// A member as of its latest recorded start.
     fn latest<'a>(&'a self, state: &'a GroupState, number: u64) -> Option<&'a Member> {
-        self.newer_starts.get(&number).or_else(|| state.members.get(&number))
+        match state.members.get(&number) {
+            Some(replicated) => Some(self.later(replicated)),
+            None => self.newer_starts.get(&number),
+        }
+    }
+
+    /// A member as of its replicated start or of the recorded one, whichever is later.
+    fn later<'a>(&'a self, replicated: &'a Member) -> &'a Member {
+        let recorded = self.newer_starts.get(&replicated.number);
+        recorded.filter(|recorded| recorded.boot > replicated.boot).unwrap_or(replicated)
     }
 }
--- a/crates/leadership/tests/peer_directory.rs
+++ b/crates/leadership/tests/peer_directory.rs
@@ -55,6 +55,20 @@
     );
 }
 
+/// Guards against a start heard earlier that hides the later one which the group has recorded since.
+#[test]
+fn the_later_one_of_a_start_that_was_heard_and_one_that_is_replicated_counts() {
+    let (mut directory, mut state) = (PeerDirectory::new(member(1, 1)), group_state());
+    directory.record(&state, &[member(2, 4)]);
+    state.add_member(member(2, 6));
+    assert_eq!(directory.member(&state, 2), Some(member(2, 6)));
+    assert!(directory.all_members(&state).contains(&member(2, 6)));
+    assert_eq!(directory.unreplicated_starts(&state), []);
+    let hello = PeerHello { protocol: PROTOCOL_VERSION, lineage: 9, from: Some(member(2, 5)), to: 1 };
+    let stale_start = PeerRejected::StaleStart { member: 2, recorded_boot: 6, announced_boot: 5 };
+    assert_eq!(directory.check_hello(&state, &hello), Err(stale_start));
+}
+
 #[test]
 fn a_later_start_replaces_the_address_and_an_earlier_one_changes_nothing() {
     let (mut directory, state) = (PeerDirectory::new(member(1, 2)), group_state());
