--- a/crates/control-plane/src/raft/driver/proposals.rs
+++ b/crates/control-plane/src/raft/driver/proposals.rs
@@ -11,6 +11,7 @@
 
 use super::{CommittedProposal, RaftDriver};
 use crate::clock;
+use crate::raft::recovery;
 use crate::raft::request::{Request, Responder, Unavailable, ignore_result, reject};
 
 /// The length of a proposal's context: three 8-byte numbers.
@@ -33,6 +34,7 @@
                 self.raw_node.report_unreachable(member);
                 self.raw_node.report_snapshot(member, SnapshotStatus::Failure);
             }
+            Request::RejectStore { reason } => self.reject_store(&reason),
             Request::ReportSnapshot { member, sent } => {
                 let status = if sent { SnapshotStatus::Finish } else { SnapshotStatus::Failure };
                 self.raw_node.report_snapshot(member, status);
@@ -137,6 +139,13 @@
         let _ = self.raw_node.step(message);
     }
 
+    fn reject_store(&self, reason: &str) {
+        if let Err(error) = recovery::mark_rejected(&self.replica.settings, self.replica.own_member.boot) {
+            tracing::error!("the store cannot be marked as rejected: {error}");
+        }
+        self.replica.abort_process(reason);
+    }
+
     pub(super) fn on_hand_over(&self, request: &Yield) {
         if self.replica.acting_term(&request.duty) == Some(request.term) {
             self.replica.hand_over(&request.duty, request.term, request.to, ignore_result());
--- a/crates/control-plane/src/raft/recovery.rs
+++ b/crates/control-plane/src/raft/recovery.rs
@@ -134,6 +134,20 @@
     Ok(boot)
 }
 
+/// Marks a store that other members have rejected, so that no later start uses it: its generation file counts
+/// one start more than the store, as if the store had been restored alone. Without the mark, the count of a
+/// process that is started again and again would exceed the one that the other members have recorded.
+///
+/// # Errors
+///
+/// If the generation file cannot be written.
+pub(crate) fn mark_rejected(settings: &ReplicaSettings, boot: u64) -> Result<(), ReplicaError> {
+    let path = &settings.store;
+    let file_id = generation_file::file_id(path)?;
+    generation_file::write(path, Generation { starts: boot.saturating_add(1), file_id })?;
+    Ok(())
+}
+
 fn store_rejected(path: &Path, source: StoreRejected, has_peers: bool) -> ReplicaError {
     let remedy = match has_peers {
         true => "remove this member with `members remove`, and add a new one with an empty store",
--- a/crates/control-plane/src/raft/replica.rs
+++ b/crates/control-plane/src/raft/replica.rs
@@ -218,7 +218,7 @@
     pub(crate) fn welcome(&self) -> PeerWelcome {
         let state = self.lock_state();
         let members = state.peers.all_members(&state.group);
-        PeerWelcome { member: self.own_member.number, members, refused: String::new(), fatal: false }
+        PeerWelcome { member: self.own_member.number, members, ..PeerWelcome::default() }
     }
 
     pub(crate) fn check_hello(&self, hello: &PeerHello) -> Result<(), PeerRejected> {
--- a/crates/control-plane/src/raft/request.rs
+++ b/crates/control-plane/src/raft/request.rs
@@ -70,6 +70,8 @@
     HandOver(Yield),
     /// Record that the stream to a member has closed.
     ReportUnreachable { member: u64 },
+    /// Mark the store as rejected, so that no later start uses it, and end the process for this reason.
+    RejectStore { reason: String },
     /// Record whether a snapshot was queued for the stream to a member.
     ReportSnapshot { member: u64, sent: bool },
 }
@@ -85,6 +87,7 @@
             | Request::GrantLease { .. }
             | Request::HandOver(_)
             | Request::ReportUnreachable { .. }
+            | Request::RejectStore { .. }
             | Request::ReportSnapshot { .. } => None,
         }
     }
--- a/crates/control-plane/src/raft/transport/inbound.rs
+++ b/crates/control-plane/src/raft/transport/inbound.rs
@@ -115,6 +115,11 @@
 }
 
 fn rejection(welcome: PeerWelcome, rejected: &PeerRejected) -> PeerWelcome {
-    let (refused, fatal) = (rejected.to_string(), rejected.is_fatal());
-    PeerWelcome { refused, fatal, members: Vec::new(), ..welcome }
+    PeerWelcome {
+        refused: rejected.to_string(),
+        fatal: rejected.is_fatal(),
+        stale_store: rejected.is_stale_store(),
+        members: Vec::new(),
+        ..welcome
+    }
 }
--- a/crates/control-plane/src/raft/transport/outbound.rs
+++ b/crates/control-plane/src/raft/transport/outbound.rs
@@ -18,6 +18,7 @@
 
 use super::MAX_PIECE_BYTES;
 use crate::raft::replica::Replica;
+use crate::raft::request::Request;
 use crate::transport::backoff::Backoff;
 use crate::transport::connection::{ConnectionError, FramedConnection, STACK_WORDS};
 use crate::transport::tls::ClientTls;
@@ -170,8 +171,11 @@
 
     fn on_welcome(&self, welcome: &PeerWelcome) -> Result<(), OutboundError> {
         if welcome.fatal && welcome.member == self.member {
-            let (member, reason) = (self.member, &welcome.refused);
-            self.replica.abort_process(&format!("member {member} has rejected this member: {reason}"));
+            let reason = format!("member {} has rejected this member: {}", self.member, welcome.refused);
+            if !welcome.stale_store {
+                self.replica.abort_process(&reason);
+            }
+            self.replica.submit(Request::RejectStore { reason });
         }
         if welcome.member != self.member {
             return Err(OutboundError::WrongMember { actual: welcome.member, expected: self.member });
--- a/crates/leadership/src/peer_directory.rs
+++ b/crates/leadership/src/peer_directory.rs
@@ -59,7 +59,12 @@
     /// Whether the peer must stop, because it would be rejected again and could disturb the group while it
     /// runs.
     pub fn is_fatal(&self) -> bool {
-        matches!(self, PeerRejected::Removed(_) | PeerRejected::StaleStart { .. })
+        matches!(self, PeerRejected::Removed(_)) || self.is_stale_store()
+    }
+
+    /// Whether the store of the peer is older than the state that the peer reported, and must not be used again.
+    pub fn is_stale_store(&self) -> bool {
+        matches!(self, PeerRejected::StaleStart { .. })
     }
 }
 
--- a/tests/leadership/identity.rs
+++ b/tests/leadership/identity.rs
@@ -98,9 +98,9 @@
     group.wait_until_in_force(&proxies, second);
 }
 
-/// Guards against a restored store that votes again because a killed member forgot a start that it had recorded.
-#[test]
-fn a_restored_store_is_rejected_by_a_member_that_was_killed_after_it_recorded_a_later_start() {
+/// Starts a group whose member 2 is restored to a state before its last start, and started beside member 3, which
+/// has recorded that start and was killed since. Member 1 does not run. Waits until member 2 ends.
+fn start_group_with_restored_member() -> Group {
     let mut group = Group::start(3);
     group.publish_until_acknowledged("limits { max_open: 11 }", "a", single_stage());
     group.wait_for_equal_versions();
@@ -124,6 +124,13 @@
     group.member_mut(3).start();
     group.member_mut(2).start();
     wait_until("the restored member ends", || group.member_mut(2).has_ended());
+    group
+}
+
+/// Guards against a restored store that votes again because a killed member forgot a start that it had recorded.
+#[test]
+fn a_restored_store_is_rejected_by_a_member_that_was_killed_after_it_recorded_a_later_start() {
+    let mut group = start_group_with_restored_member();
     assert!(
         group.member(2).log().contains("a later start of member 2 is known"),
         "{}",
@@ -134,6 +141,18 @@
     group.publish_until_acknowledged("limits { max_open: 12 }", "b", single_stage());
 }
 
+/// Guards against a rejected store that is accepted once it was started as often as the others have recorded.
+#[test]
+fn a_rejected_store_is_not_accepted_when_its_member_is_started_again() {
+    let mut group = start_group_with_restored_member();
+    for _ in 0..2 {
+        group.member_mut(2).kill();
+        group.member_mut(2).start();
+        wait_until("the rejected member ends again", || group.member_mut(2).has_ended());
+    }
+    assert_eq!(group.member(2).log().matches("the store is older than its seal").count(), 2);
+}
+
 /// The number of starts of a member that another one has recorded.
 fn recorded_starts(group: &Group, observer: u64, number: u64) -> Option<u64> {
     match group.member(observer).call(call::What::Members(ListMembers {})) {
