--- a/tests/event_races/floods.rs
+++ b/tests/event_races/floods.rs
@@ -3,6 +3,7 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::proxy::{Coordinator, Engine, Launch, Proxy, TIMEOUT, event, free_address, query, wait_within};
@@ -10,6 +11,15 @@
     assert_only_next_query_arrives, open_idle_connection, serve, with_coordinator, with_long_dial_timeout,
 };
 
+/// Sets a flag when it is dropped, also by a panic, so that a thread which waits for the flag ends in any case.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Hundreds of idle clients connect while discovery is down: descriptors stay within their bound, the last
 /// client is served, and the proxy reaches discovery as soon as it is up.
 #[test]
@@ -18,19 +28,20 @@
     let coordinator_address = free_address();
     let edit_config = |text: String| with_coordinator(text, coordinator_address);
     let proxy = Launch { edit_config: &edit_config, ..Launch::new(&[]) }.start();
-    let done = std::sync::atomic::AtomicBool::new(false);
+    let done = AtomicBool::new(false);
     let (idle, most) = std::thread::scope(|scope| {
         let observer = scope.spawn(|| {
             let mut most = 0;
-            while !done.load(std::sync::atomic::Ordering::SeqCst) {
+            while !done.load(Ordering::SeqCst) {
                 most = most.max(proxy.descriptors());
             }
             most
         });
+        let end_of_observation = SetOnDrop(&done);
         let idle: Vec<TcpStream> = (0..800).filter_map(|_| TcpStream::connect(proxy.address).ok()).collect();
         // This client is accepted after all idle ones.
         assert_eq!(proxy.client().request(""), "I");
-        done.store(true, std::sync::atomic::Ordering::SeqCst);
+        drop(end_of_observation);
         (idle, observer.join().unwrap())
     });
     // 102 sessions and 8 that are being evicted; the other 30 cover a proxy without clients.
