--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -8,6 +8,7 @@
 mod proxy;
 
 mod interfaces;
+mod last_good_version;
 mod recovery;
 mod rollouts;
 mod validation;
