--- a/crates/control-plane/src/server/listener.rs
+++ b/crates/control-plane/src/server/listener.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gaugestep_coroutine_io::listener::bind_exclusive;
 use gaugestep_coroutine_io::task;
 use may::net::{TcpListener, TcpStream};
 
@@ -88,7 +89,7 @@
     tls: &ListenerTls,
 ) -> Result<(), StartError> {
     let listen_error = |source| StartError::Listen { address, source };
-    let socket = TcpListener::bind(address).map_err(listen_error)?;
+    let socket = bind_exclusive(address).map_err(listen_error)?;
     let listener = Listener { context: Arc::clone(context), audience, tls: tls.for_audience(audience) };
     task::spawn("listener", move || listener.accept_all(&socket)).map_err(listen_error)
 }
--- a/crates/coroutine-io/src/lib.rs
+++ b/crates/coroutine-io/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sockets, timers and tasks for programs that run on coroutines. One worker thread runs all coroutines, one
 //! coroutine owns each connection, and no call blocks the worker thread.
 
+pub mod listener;
 pub mod stream;
 pub mod task;
 mod write_buffer;
--- a/tests/configuration/interfaces.rs
+++ b/tests/configuration/interfaces.rs
@@ -1,10 +1,14 @@
 //! Malformed peers, files and commands are rejected with one line, and commands report their results.
 
+use std::fs::File;
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
+use std::process::Command;
 use std::time::Instant;
 
-use crate::control::ControlServer;
+use gaugestep_testbed::process::Process;
+
+use crate::control::{ControlServer, wait_until};
 use crate::proxy::TIMEOUT;
 
 /// Peers send another protocol, a length that is too large, an undecodable message or an empty one: the
@@ -32,6 +36,32 @@
     assert!(log.contains(r#""version":1"#));
 }
 
+/// Guards against two control servers that share the connections of one address.
+#[test]
+fn a_second_control_server_on_an_address_in_use_ends_with_one_line() {
+    let control = ControlServer::start();
+    let folder = tempfile::tempdir().unwrap();
+    let config = folder.path().join("control.textproto");
+    let store = folder.path().join("versions.redb").display().to_string();
+    let free = || crate::proxy::free_address();
+    for (listen, operators, in_use) in
+        [(control.listen, free(), control.listen), (free(), control.operators, control.operators)]
+    {
+        let text = format!("listen: \"{listen}\" operators: \"{operators}\" store: {store:?}");
+        std::fs::write(&config, text).unwrap();
+        let log = folder.path().join("log");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gaugestep-control"));
+        command.args(["serve", "--config"]).arg(&config).stderr(File::create(&log).unwrap());
+        let mut second = Process::start(&mut command).unwrap();
+        wait_until("the second control server ends", || second.exit_status().unwrap().is_some());
+        let error = std::fs::read_to_string(&log).unwrap();
+        assert_eq!(second.exit_status().unwrap().unwrap().code(), Some(1), "{error}");
+        assert!(error.contains(&format!("cannot listen on {in_use}")), "{error}");
+        assert_eq!(error.lines().count(), 1, "{error}");
+    }
+    assert_eq!(control.publish("limits { max_open: 5 }", &[]), 1);
+}
+
 #[test]
 fn an_unusable_operator_file_ends_the_start_with_one_error_line() {
     let folder = tempfile::tempdir().unwrap();
