--- a/tests/common/proxy/client.rs
+++ b/tests/common/proxy/client.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-use super::{Engine, EngineConnection, TIMEOUT};
+use super::{Engine, EngineConnection, TIMEOUT, wait_within};
 
 /// A client with an open session.
 pub struct Client {
@@ -30,6 +30,15 @@
         Ok(client)
     }
 
+    /// Closes the connection, and waits until the end of it has arrived at the proxy. That may be later than the
+    /// close: a process that another test is starting holds a copy of the socket until it runs its program.
+    pub fn close(self) {
+        let (client, proxy) = (self.socket.local_addr().unwrap(), self.socket.peer_addr().unwrap());
+        assert!(is_established(proxy, client), "the connection is open");
+        drop(self);
+        wait_within(TIMEOUT, "the end of the connection arrives", || !is_established(proxy, client));
+    }
+
     pub fn send(&mut self, text: &str) {
         self.try_send(text).unwrap();
     }
@@ -116,3 +125,21 @@
 pub fn query(class: &str, id: u64, budget_ms: u32) -> String {
     format!("/* method={class},rid={id:016x},budget={budget_ms},est=20 */ SELECT a FROM sales_17.orders")
 }
+
+/// Whether the kernel has this connection in the state ESTABLISHED at its `local` end: neither a close of the other
+/// end nor a reset has arrived there.
+fn is_established(local: SocketAddr, remote: SocketAddr) -> bool {
+    const ESTABLISHED: &str = "01";
+    let (local, remote) = (kernel_form(local), kernel_form(remote));
+    let connections = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    connections.lines().any(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        fields[1..4] == [local.as_str(), remote.as_str(), ESTABLISHED]
+    })
+}
+
+/// An address as `/proc/net/tcp` shows it: the bytes of the IPv4 address as a number of this machine, and the port.
+fn kernel_form(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else { panic!("{address} is no IPv4 address") };
+    format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port())
+}
--- a/tests/event_races/client_leaves.rs
+++ b/tests/event_races/client_leaves.rs
@@ -81,7 +81,7 @@
         let mut client = proxy.client();
         proxy.suspend();
         client.send(&query("lookup", id, 15_000));
-        drop(client);
+        client.close();
         proxy.resume();
     }
     assert_eq!(other_client.request(""), "I", "other sessions go on");
@@ -150,7 +150,7 @@
     // and the cancel.
     proxy.suspend();
     publish_phase(3, "SERVING");
-    drop(closing);
+    closing.close();
     let _cancel = cancelling.cancel();
     proxy.resume();
     assert!(cancelling.read_response().starts_with("E 57014"));
@@ -167,7 +167,7 @@
     wait_within(TIMEOUT, "the request waits for the dial", || proxy.statistic("/outstanding") == Some(1));
     // The dial completes and the client disconnects while the proxy is suspended.
     proxy.suspend();
-    drop(client);
+    client.close();
     drop((backlog, engine.accept()));
     let mut connection = engine.accept();
     proxy.resume();
@@ -218,7 +218,8 @@
     proxy.suspend();
     shedding.send(&format!("{:016x}", 1), "SHED", "-", "");
     drop(breaking);
-    drop((shed_client, reset_client));
+    shed_client.close();
+    reset_client.close();
     proxy.resume();
     assert_eq!(proxy.attempts_once_idle(), 4);
     // Neither request is sent to the second engine.
@@ -252,7 +253,7 @@
         // A relaunch that was written before the suspension preceded the disconnect: such a round proves
         // nothing.
         let early_relaunches = engines.receive();
-        drop(client);
+        client.close();
         std::thread::sleep(Duration::from_millis(400));
         proxy.resume();
         proxy.attempts_once_idle();
