--- a/crates/leadership/tests/fleet.rs
+++ b/crates/leadership/tests/fleet.rs
@@ -478,8 +478,12 @@
                         Message::GrantLease { member, number, committed_index },
                     );
                 }
-                LeaseAction::Assign { role, to, .. } => {
-                    let term = self.nodes[node].group_state.holder(&role).term;
+                LeaseAction::Assign { role, term, to } => {
+                    let term = match self.bug {
+                        // With this bug, the grantor was given no term.
+                        Bug::NoWaitAfterRemoval => self.nodes[node].group_state.holder(&role).term,
+                        _ => term,
+                    };
                     self.propose(
                         node,
                         Command { duty: role, term, what: Some(What::Assign(to)), ..Command::default() },
