--- a/crates/coroutine-io/src/stream.rs
+++ b/crates/coroutine-io/src/stream.rs
@@ -1,6 +1,7 @@
 //! TCP connections that are owned by coroutines. Reads and writes never block; a coroutine waits with
 //! [`WaitIo::wait_io`] until its connection is ready or another coroutine wakes it with a [`Waker`].
 
+use std::cell::RefCell;
 use std::io::{self, Read};
 use std::net::TcpStream;
 use std::os::fd::AsFd;
@@ -14,7 +15,9 @@
 pub type Waker = WaitIoWaker;
 
 /// The largest number of bytes that one read returns.
-const READ_SIZE_BYTES: usize = 8 * 1024;
+pub const MAX_READ_BYTES: usize = 8 * 1024;
+/// The capacity of a buffer exceeds its length by at most one part in this many after a read.
+const GROWTH_DIVISOR: usize = 4;
 /// Reads after which [`discard_input`] stops, so that a peer that keeps sending cannot occupy it for ever.
 const MAX_DISCARD_READS: usize = 32;
 /// The timeout of a poll that returns at once.
@@ -49,27 +52,60 @@
     Closed,
 }
 
-/// Reads once and appends the bytes to `buffer`.
+thread_local! {
+    /// Receives the bytes of a read before they are appended to the buffer of a connection, which so has only
+    /// as much capacity as bytes have arrived.
+    static READ_BUFFER: RefCell<[u8; MAX_READ_BYTES]> = const { RefCell::new([0; MAX_READ_BYTES]) };
+}
+
+/// Returns the largest capacity that a buffer with `length` bytes has after a [`read_at_most`] of `max_bytes`, if its
+/// capacity was not larger before.
+pub const fn capacity_after_read(length: usize, max_bytes: usize) -> usize {
+    length + length / GROWTH_DIVISOR + max_bytes
+}
+
+/// Reads once, at most [`MAX_READ_BYTES`], and appends the bytes to `buffer`.
 ///
 /// # Errors
 /// Returns the error of the socket. An interrupted read is repeated instead.
-pub fn read_into(mut socket: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<ReadOutcome> {
-    let previous_length = buffer.len();
-    buffer.resize(previous_length + READ_SIZE_BYTES, 0);
-    let result = loop {
-        match socket.read(&mut buffer[previous_length..]) {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            other => break other,
+pub fn read_into(socket: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<ReadOutcome> {
+    read_at_most(socket, buffer, MAX_READ_BYTES)
+}
+
+/// Reads once, at most `max_bytes` and [`MAX_READ_BYTES`], and appends the bytes to `buffer`.
+///
+/// # Errors
+/// Returns the error of the socket. An interrupted read is repeated instead.
+pub fn read_at_most(
+    mut socket: &TcpStream,
+    buffer: &mut Vec<u8>,
+    max_bytes: usize,
+) -> io::Result<ReadOutcome> {
+    READ_BUFFER.with_borrow_mut(|bytes| {
+        let result = loop {
+            match socket.read(&mut bytes[..max_bytes.min(MAX_READ_BYTES)]) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                other => break other,
+            }
+        };
+        match result {
+            Ok(0) => Ok(ReadOutcome::Closed),
+            Ok(count) => {
+                append(buffer, &bytes[..count]);
+                Ok(ReadOutcome::Data)
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(ReadOutcome::WouldBlock),
+            Err(error) => Err(error),
         }
-    };
-    let read_bytes = *result.as_ref().unwrap_or(&0);
-    buffer.truncate(previous_length + read_bytes);
-    match result {
-        Ok(0) => Ok(ReadOutcome::Closed),
-        Ok(_) => Ok(ReadOutcome::Data),
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(ReadOutcome::WouldBlock),
-        Err(error) => Err(error),
+    })
+}
+
+/// Appends bytes to a buffer that grows by a fraction of its length, and not to twice its capacity.
+fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    if buffer.capacity() - buffer.len() < bytes.len() {
+        buffer.reserve_exact(bytes.len().max(buffer.len() / GROWTH_DIVISOR));
     }
+    buffer.extend_from_slice(bytes);
 }
 
 /// Whether the peer has closed its side or the connection is broken, even if bytes that arrived earlier are
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -172,6 +172,7 @@
         ("GET", "/ops/readiness") if server.name_is_superseded() => Err(ApiError::Superseded),
         ("GET", "/ops/readiness") => Err(ApiError::ServiceUnavailable),
         ("GET", "/ops/stats") => Ok(server.stats_json().to_string()),
+        ("GET", "/ops/memory") => Ok(server.memory_json().to_string()),
         ("PUT", "/ops/drain/start") => {
             server.start_drain();
             Ok("draining\n".into())
@@ -180,7 +181,7 @@
             server.stop_drain();
             Ok("serving\n".into())
         }
-        (_, "/ops/readiness" | "/ops/stats" | "/ops/drain/start" | "/ops/drain/stop") => {
+        (_, "/ops/readiness" | "/ops/stats" | "/ops/memory" | "/ops/drain/start" | "/ops/drain/stop") => {
             Err(ApiError::MethodNotAllowed)
         }
         _ => Err(ApiError::NotFound),
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -15,7 +15,8 @@
 
 use crate::config::{self, Config};
 use crate::logging::{self, LineFormat};
-use crate::server::{Server, preallocate_descriptor_table};
+use crate::memory::allocator;
+use crate::server::{ResourceLimits, Server, preallocate_descriptor_table};
 use crate::{admin, process_exit, task};
 
 /// A proxy before query engines: cancels stragglers after a learned timeout and relaunches them once.
@@ -62,6 +63,7 @@
 
 /// Runs the program. Errors are printed as one line on standard error.
 pub fn run() -> ExitCode {
+    allocator::configure();
     process_exit::install();
     let cli = Cli::try_parse().unwrap_or_else(|error| {
         process_exit::mark_planned();
@@ -87,6 +89,7 @@
 
 fn check_config(path: &Path) -> anyhow::Result<()> {
     let config = Config::load(path)?;
+    ResourceLimits::new(&config.limits, false).memory_plan(&config.limits)?;
     println!("{}: can be used; listens on {}", config.name, config.listen_address);
     Ok(())
 }
--- a/crates/proxy/src/downstream/postgres/backend.rs
+++ b/crates/proxy/src/downstream/postgres/backend.rs
@@ -6,7 +6,6 @@
 
 use super::error::{FatalError, QueryError, SqlState};
 use super::frontend::CancelKey;
-use crate::query::Pages;
 
 /// Parameters that clients receive at the start of a session.
 const SESSION_PARAMETERS: [(&str, &str); 6] = [
@@ -87,20 +86,8 @@
     append_error(out, Severity::Error, error.sql_state(), error, error.hint());
 }
 
-/// Appends a query result: the row description, the rows, and the command tag. `command` is the first word
-/// of the statement.
-pub fn result(out: &mut Vec<u8>, command: &str, pages: &Pages) {
-    row_description(out);
-    let mut rows = 0;
-    for row in pages.iter().flat_map(|page| page.split_inclusive(|byte| *byte == b'\n')) {
-        data_row(out, row.strip_suffix(b"\n").unwrap_or(row));
-        rows += 1;
-    }
-    command_complete(out, command, rows);
-}
-
 /// Appends the description of the result's columns, all of which are of type `text`.
-fn row_description(out: &mut Vec<u8>) {
+pub fn row_description(out: &mut Vec<u8>) {
     append_message(out, b'T', |out| {
         out.extend_from_slice(&(COLUMN_NAMES.len() as u16).to_be_bytes());
         for name in COLUMN_NAMES {
@@ -117,7 +104,7 @@
 }
 
 /// Appends a row, whose columns are separated by tabs.
-fn data_row(out: &mut Vec<u8>, row: &[u8]) {
+pub fn data_row(out: &mut Vec<u8>, row: &[u8]) {
     append_message(out, b'D', |out| {
         let columns = row.split(|byte| *byte == b'\t');
         out.extend_from_slice(&(columns.clone().count() as u16).to_be_bytes());
@@ -129,7 +116,7 @@
 }
 
 /// Appends the command tag, such as `SELECT 3`. Commands other than those listed get the tag of `SELECT`.
-fn command_complete(out: &mut Vec<u8>, command: &str, rows: usize) {
+pub fn command_complete(out: &mut Vec<u8>, command: &str, rows: usize) {
     let word = command.split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or("").to_ascii_uppercase();
     append_message(out, b'C', |out| {
         let tag = match word.as_str() {
--- a/crates/proxy/src/downstream/postgres/cancel_registry.rs
+++ b/crates/proxy/src/downstream/postgres/cancel_registry.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Instant;
 
@@ -11,6 +11,7 @@
 
 use super::frontend::CancelKey;
 use crate::lock;
+use crate::memory::relief::{self, HeldMemory};
 use crate::stream::{Stream as _, Waker, peer_closed, readable};
 
 /// The phase of a session. Eviction prefers lower phases and never evicts a busy session.
@@ -34,13 +35,26 @@
     pub no_progress_since: Instant,
     /// When the session must be woken to check its timeouts. `None` if no timeout is running.
     pub wake_at: Option<Instant>,
+    /// What the session holds in memory.
+    pub held: HeldMemory,
+}
+
+/// Why a session must close to free what it holds for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Eviction {
+    /// The maximum number of sessions is open.
+    TooManySessions = 1,
+    /// The memory for messages or for requests is used up.
+    OutOfMemory = 2,
 }
 
 /// Lets other coroutines cancel the query of a session, wake the session or evict it.
 pub struct SessionHandle {
     secret_key: u32,
     cancel_requested: AtomicBool,
-    evicted: AtomicBool,
+    /// The [`Eviction`] of the session; 0 if it is not evicted.
+    eviction: AtomicU8,
     status: Mutex<SessionStatus>,
     /// Dangling once the session has ended.
     stream: Weak<CoIo<TcpStream>>,
@@ -53,7 +67,7 @@
         SessionHandle {
             secret_key,
             cancel_requested: AtomicBool::new(false),
-            evicted: AtomicBool::new(false),
+            eviction: AtomicU8::new(0),
             status: Mutex::new(status),
             stream: Arc::downgrade(stream),
             waker: stream.waker(),
@@ -65,9 +79,22 @@
         *lock(&self.status) = status;
     }
 
-    /// Whether the session must close to free its place for another.
+    /// Why the session must close to free what it holds for others; `None` if it is not evicted.
+    pub fn eviction(&self) -> Option<Eviction> {
+        [Eviction::TooManySessions, Eviction::OutOfMemory]
+            .into_iter()
+            .find(|eviction| *eviction as u8 == self.eviction.load(Ordering::Relaxed))
+    }
+
+    /// Whether the session must close to free what it holds for others.
     pub fn is_evicted(&self) -> bool {
-        self.evicted.load(Ordering::Relaxed)
+        self.eviction().is_some()
+    }
+
+    /// Makes the session close, and wakes it.
+    fn evict(&self, eviction: Eviction) {
+        self.eviction.store(eviction as u8, Ordering::Relaxed);
+        self.waker.wakeup();
     }
 
     /// Whether a cancel request has arrived that the session has not processed yet.
@@ -164,8 +191,40 @@
         else {
             return false;
         };
-        handle.evicted.store(true, Ordering::Relaxed);
-        handle.waker.wakeup();
+        handle.evict(Eviction::TooManySessions);
         true
     }
+
+    /// Evicts the session with the oldest incomplete message, unless one that was evicted for its memory still
+    /// holds some. Returns what the session holds; `None` if no session is evicted.
+    pub fn evict_incomplete_message(&self) -> Option<HeldMemory> {
+        let sessions = lock(&self.sessions);
+        let is_being_relieved = |handle: &Arc<SessionHandle>| {
+            handle.eviction() == Some(Eviction::OutOfMemory) && lock(&handle.status).held.input_bytes > 0
+        };
+        if sessions.values().any(is_being_relieved) {
+            return None;
+        }
+        Self::evict_for_memory(relief::oldest_incomplete(Self::held_memory(&sessions))?)
+    }
+
+    /// Evicts the session whose client has not read its response for longest, if that is long enough. Returns
+    /// what the session holds; `None` if no session is evicted.
+    pub fn evict_slowest_reader(&self) -> Option<HeldMemory> {
+        let sessions = lock(&self.sessions);
+        Self::evict_for_memory(relief::slowest_reader(Self::held_memory(&sessions), Instant::now())?)
+    }
+
+    /// Returns the sessions that are not evicted, with what they hold.
+    fn held_memory(
+        sessions: &HashMap<u32, Arc<SessionHandle>>,
+    ) -> impl Iterator<Item = (&Arc<SessionHandle>, HeldMemory)> {
+        let remaining = sessions.values().filter(|handle| !handle.is_evicted());
+        remaining.map(|handle| (handle, lock(&handle.status).held))
+    }
+
+    fn evict_for_memory(handle: &SessionHandle) -> Option<HeldMemory> {
+        handle.evict(Eviction::OutOfMemory);
+        Some(lock(&handle.status).held)
+    }
 }
--- a/crates/proxy/src/downstream/postgres/error.rs
+++ b/crates/proxy/src/downstream/postgres/error.rs
@@ -30,7 +30,7 @@
 }
 
 /// An error that ends the session (severity `FATAL`).
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Error)]
 pub enum FatalError {
     /// The length of the startup message is out of range.
     #[error("invalid length of startup packet")]
@@ -71,6 +71,9 @@
     /// The client sent more input ahead of a response than the proxy buffers.
     #[error("too much was sent ahead of an answer")]
     TooMuchReadAhead,
+    /// The memory for incomplete messages is used up, and this one is the oldest.
+    #[error("out of memory for incomplete messages")]
+    OutOfMemory,
     /// The maximum number of sessions is open.
     #[error("sorry, too many clients already")]
     TooManyClients,
@@ -95,6 +98,7 @@
             FatalError::MessageTimeout | FatalError::ClientClosed | FatalError::ClientTerminated => {
                 SqlState::QUERY_CANCELED
             }
+            FatalError::OutOfMemory => SqlState::OUT_OF_MEMORY,
             FatalError::TooManyClients => SqlState::TOO_MANY_CONNECTIONS,
             FatalError::ShuttingDown => SqlState::CANNOT_CONNECT_NOW,
         }
@@ -122,7 +126,7 @@
     /// The maximum number of requests is open.
     #[error("too many requests are open")]
     TooManyOpenRequests,
-    /// The coroutine of the request could not be started.
+    /// The memory for requests is used up, or the coroutine of the request could not be started.
     #[error("out of memory")]
     OutOfMemory,
     /// The client cancelled the query.
--- a/crates/proxy/src/downstream/postgres/mod.rs
+++ b/crates/proxy/src/downstream/postgres/mod.rs
@@ -15,7 +15,9 @@
 mod error;
 mod frontend;
 mod request;
+mod result_encoder;
 mod session;
+mod session_counts;
 mod session_end;
 mod session_manager;
 
--- a/crates/proxy/src/downstream/postgres/request.rs
+++ b/crates/proxy/src/downstream/postgres/request.rs
@@ -8,6 +8,7 @@
 use super::error::QueryError;
 use crate::downstream::{request_fields, table_group::table_group};
 use crate::facade::request_id;
+use crate::memory::plan::request_charge;
 use crate::query::{Client, Query};
 use crate::request_lifecycle::RequestHandler;
 
@@ -21,7 +22,7 @@
 /// # Errors
 ///
 /// Returns an error if the query is malformed, its class or tenant is unknown, or the maximum number of
-/// requests is open.
+/// requests is open, or the memory for requests is used up.
 pub fn build_query(
     handler: &RequestHandler,
     text: &[u8],
@@ -40,6 +41,11 @@
         class.record_rejected();
         return Err(QueryError::TooManyOpenRequests);
     }
+    let charge = handler.request_memory.charge(request_charge(statement.len())).map(Arc::new);
+    let Some(memory) = charge else {
+        class.record_rejected();
+        return Err(QueryError::OutOfMemory);
+    };
     let response_reserve = RESPONSE_RESERVE.min(fields.budget / 2.0);
     let request = NewRequest {
         id: request_id(fields.rid),
@@ -51,5 +57,5 @@
         tables: TableSetId(table_group(statement).unwrap_or(0)),
         order_key: None,
     };
-    Ok(Query { request, class: class.clone(), statement: statement.to_vec(), client })
+    Ok(Query { request, class: class.clone(), statement: statement.to_vec(), client, memory })
 }
--- a/crates/proxy/src/downstream/postgres/session/closing.rs
+++ b/crates/proxy/src/downstream/postgres/session/closing.rs
@@ -6,11 +6,12 @@
 use super::state::State;
 use super::{Disconnected, MAX_READ_AHEAD_BYTES, Session};
 use crate::downstream::postgres::backend;
-use crate::downstream::postgres::cancel_registry::{Phase, SessionStatus};
+use crate::downstream::postgres::cancel_registry::{Eviction, Phase, SessionStatus};
 use crate::downstream::postgres::error::FatalError;
 use crate::downstream::postgres::frontend::kind;
 use crate::downstream::postgres::session_end::{SessionEnd, shut_down_output};
 use crate::facade::RequestEvent;
+use crate::memory::relief::HeldMemory;
 use crate::stream::Stream as _;
 
 /// Time in which a client must send its startup message, or the rest of a message whose first bytes have
@@ -31,13 +32,17 @@
 /// Returns the status of a session that started at `started_at` and has read no input yet.
 pub fn initial_status(started_at: Instant) -> SessionStatus {
     let wake_at = Some(started_at + MESSAGE_TIMEOUT);
-    SessionStatus { phase: Phase::StartingOrClosing, no_progress_since: started_at, wake_at }
+    let held = HeldMemory { incomplete_since: Some(started_at), input_bytes: 0, unread_since: None };
+    SessionStatus { phase: Phase::StartingOrClosing, no_progress_since: started_at, wake_at, held }
 }
 
 impl Session<'_> {
     /// Ends the session with an error.
     pub(super) fn fail(&mut self, error: FatalError) {
+        tracing::debug!(process_id = self.key.process_id, %error, "session failed");
+        self.manager.count_failure(error);
         backend::fatal_error(self.out.buffer(), error);
+        self.input = Vec::new();
         self.state.close();
     }
 
@@ -74,14 +79,16 @@
     }
 
     /// Ends the session if the client has not sent the rest of a message in time, or if the session was
-    /// evicted before its startup message arrived.
+    /// evicted before its startup message or, to free memory, before its message was complete.
     pub(super) fn check_message_timeout(&mut self) {
         let is_startup = self.state.is_startup();
-        if is_startup && self.handle.is_evicted() {
-            self.fail(FatalError::TooManyClients);
-        }
         let is_incomplete = is_startup
             || !self.input.is_empty() && self.state.accepts_messages() && !self.has_complete_message();
+        match self.handle.eviction() {
+            Some(Eviction::TooManySessions) if is_startup => self.fail(FatalError::TooManyClients),
+            Some(Eviction::OutOfMemory) if is_incomplete => self.fail(FatalError::OutOfMemory),
+            _ => {}
+        }
         if is_incomplete {
             self.message_started_at.get_or_insert_with(Instant::now);
         } else {
@@ -120,7 +127,8 @@
     }
 
     /// Publishes the status of the session. Fails if the connection must be closed because a deadline has
-    /// passed or the session was evicted while half-closed.
+    /// passed, or because the session was evicted while half-closed or, to free memory, while its client does
+    /// not read.
     pub(super) fn publish_status(&mut self) -> Result<(), Disconnected> {
         let deadline = self.next_deadline()?;
         let wake_at = match deadline {
@@ -129,16 +137,26 @@
             None => None,
         };
         let (phase, no_progress_since) = self.current_phase();
-        self.handle.set_status(SessionStatus { phase, no_progress_since, wake_at });
+        self.handle.set_status(SessionStatus { phase, no_progress_since, wake_at, held: self.held_memory() });
         Ok(())
     }
 
+    fn held_memory(&self) -> HeldMemory {
+        let is_unread = self.out.pending() > 0 && !self.state.is_busy();
+        HeldMemory {
+            incomplete_since: self.message_started_at.filter(|_| self.state.accepts_messages()),
+            input_bytes: self.input_charge.bytes(),
+            unread_since: is_unread.then_some(self.last_progress),
+        }
+    }
+
     /// Returns the next deadline of the session, or `None` if no timeout is running. Fails if the
-    /// connection must be closed at once, because the session was evicted while half-closed.
+    /// connection must be closed at once, because the session was evicted; see [`Session::publish_status`].
     fn next_deadline(&self) -> Result<Option<Deadline>, Disconnected> {
         match self.state.get() {
             State::HalfClosed(_) if self.handle.is_evicted() => Err(Disconnected),
             State::HalfClosed(deadlines) => Ok(Some(Deadline::Connection(deadlines.next()))),
+            _ if self.held_memory().unread_since.is_some() && self.must_free_memory() => Err(Disconnected),
             _ if self.out.pending() > 0 => {
                 Ok(Some(Deadline::Connection(self.last_progress + CLIENT_READ_TIMEOUT)))
             }
@@ -149,6 +167,10 @@
         }
     }
 
+    fn must_free_memory(&self) -> bool {
+        self.handle.eviction() == Some(Eviction::OutOfMemory)
+    }
+
     /// Returns the phase of the session and since when it has made no progress.
     fn current_phase(&self) -> (Phase, Instant) {
         match self.state.get() {
--- a/crates/proxy/src/downstream/postgres/session/messages.rs
+++ b/crates/proxy/src/downstream/postgres/session/messages.rs
@@ -5,12 +5,13 @@
 use may::io::WaitIo as _;
 
 use super::state::RunningQuery;
-use super::{MAX_READ_AHEAD_BYTES, MESSAGES_PER_ITERATION, Session};
+use super::{MAX_UNWRITTEN_BYTES, MESSAGES_PER_ITERATION, Session};
 use crate::downstream::postgres::backend;
 use crate::downstream::postgres::client_handle::ClientHandle;
 use crate::downstream::postgres::error::{FatalError, QueryError};
 use crate::downstream::postgres::frontend::{self, Message, StartupMessage, kind};
 use crate::downstream::postgres::request::build_query;
+use crate::downstream::postgres::result_encoder::ResultEncoder;
 use crate::downstream::postgres::session_end::SessionEnd;
 use crate::facade::{Mailbox, Rejection};
 use crate::query::{Query, Response};
@@ -30,7 +31,8 @@
         let mut input = std::mem::take(&mut self.input);
         let mut consumed = 0;
         for _ in 0..MESSAGES_PER_ITERATION {
-            if !self.state.accepts_messages() || self.out.pending() >= MAX_READ_AHEAD_BYTES {
+            let has_output = self.result.is_some() || self.out.pending() >= MAX_UNWRITTEN_BYTES;
+            if has_output || !self.state.accepts_messages() {
                 break;
             }
             match self.process_message(&input[consumed..]) {
@@ -43,8 +45,7 @@
             consumed = input.len();
         }
         input.drain(..consumed);
-        // An idle session keeps no input buffer, to save memory.
-        self.input = if input.is_empty() { Vec::new() } else { input };
+        self.input = input;
     }
 
     /// Processes the message at the front of `input`. Returns its length in bytes, or 0 if it is incomplete.
@@ -128,7 +129,12 @@
         let client = Arc::new(ClientHandle::new(self.manager.clone(), self.handle.clone()));
         match build_query(&self.manager.handler, text, self.read_at, client.clone()) {
             Ok(query) => self.start_query(query, client),
-            Err(error) => self.fail_query(&error),
+            Err(error) => {
+                if error == QueryError::OutOfMemory {
+                    self.manager.evict_slowest_reader();
+                }
+                self.fail_query(&error);
+            }
         }
         Ok(())
     }
@@ -141,7 +147,7 @@
             events: mailbox.sender(),
             response: Arc::new(Mutex::new(None)),
             command: command_word(&query.statement),
-            open_guard: handler.track_open(&query.class),
+            open_guard: handler.track_open(&query),
             client,
         };
         let response_slot = running.response.clone();
@@ -171,7 +177,11 @@
         let Some((response, query)) = self.state.take_response() else { return };
         let out = self.out.buffer();
         match response {
-            Response::Served(pages) => backend::result(out, &query.command, &pages),
+            Response::Served(pages) => {
+                self.result = Some(ResultEncoder::new(&query.command, pages));
+                self.unsent_response_guard = Some(query.open_guard);
+                return;
+            }
             Response::Rejected(Rejection { retry_after, reason }) => {
                 backend::query_error(out, &QueryError::Rejected { retry_after, reason });
             }
--- a/crates/proxy/src/downstream/postgres/session/mod.rs
+++ b/crates/proxy/src/downstream/postgres/session/mod.rs
@@ -5,6 +5,7 @@
 //! timeouts and ends the session, and [`state`] is the state machine of the session.
 
 mod closing;
+mod input;
 mod messages;
 mod state;
 
@@ -15,21 +16,25 @@
 use gaugestep_dispatch::interface::Millis;
 use may::io::{CoIo, WaitIo as _};
 
+use self::input::SocketInput;
 use self::state::SessionState;
 use super::cancel_registry::SessionHandle;
-use super::frontend::{self, CancelKey};
+use super::frontend::CancelKey;
+use super::result_encoder::ResultEncoder;
 use super::session_manager::SessionManager;
+use crate::memory::MemoryCharge;
 use crate::request_lifecycle::OpenRequestGuard;
-use crate::stream::{ReadOutcome, Stream as _, WriteBuffer, discard_input, read_into};
+use crate::stream::{Stream as _, WriteBuffer, discard_input};
 use crate::task;
 
 pub use self::closing::initial_status;
 
 /// Length of the buffered input from which a session reads no more, except for the rest of one longer
-/// message; also the length of the unwritten output from which it processes no further message.
+/// message.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Maximum number of reads in one iteration of the event loop.
-const READS_PER_ITERATION: usize = 16;
+/// Length of the unwritten output from which a session processes no further message and encodes no more of a
+/// result.
+const MAX_UNWRITTEN_BYTES: usize = 4 * 1024;
 /// Maximum number of messages that are processed in one iteration of the event loop.
 const MESSAGES_PER_ITERATION: usize = 16;
 /// Number of iterations without a wait after which a session pauses, so that other sessions can run.
@@ -37,6 +42,8 @@
 /// How long a session pauses then. It sleeps, because a coroutine that yields runs again before any other
 /// socket is read.
 const LOOP_PAUSE: Duration = Duration::from_millis(1);
+/// How long a session pauses that may not read because the memory for messages is used up.
+const MEMORY_PAUSE: Duration = Duration::from_millis(20);
 
 /// A session. Only its own coroutine accesses it; other coroutines use its [`SessionHandle`].
 pub struct Session<'a> {
@@ -47,7 +54,11 @@
     state: SessionState,
     /// Input that was read and not processed yet.
     input: Vec<u8>,
+    /// The memory of `input`.
+    input_charge: MemoryCharge,
     out: WriteBuffer,
+    /// The part of a result that is not in `out` yet.
+    result: Option<ResultEncoder>,
     /// When input was last read, on the facade's clock.
     read_at: Millis,
     /// When the first bytes of the incomplete message arrived, or when the session started if it waits for
@@ -65,15 +76,6 @@
     unsent_response_guard: Option<OpenRequestGuard>,
 }
 
-/// Whether the socket may have more input after a read.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum SocketInput {
-    /// All input has been read, and new input wakes the session.
-    Drained,
-    /// The socket may have unread input, which does not wake the session.
-    MayHaveMore,
-}
-
 /// The session must end at once, because the connection is broken or must be closed.
 struct Disconnected;
 
@@ -93,7 +95,9 @@
             key,
             state: SessionState::new(),
             input: Vec::new(),
+            input_charge: manager.message_memory.empty_charge(),
             out: WriteBuffer::default(),
+            result: None,
             read_at: 0.0,
             message_started_at: Some(started_at),
             last_progress: started_at,
@@ -114,12 +118,11 @@
             if self.process_events().is_err() {
                 return;
             }
-            // The socket is edge-triggered: it reports input only once. So the session waits only when it
-            // has read all input or must not read more now.
-            let may_wait = socket_input == SocketInput::Drained || !self.should_read();
-            if may_wait && !self.has_message_to_process() {
+            if self.may_wait(socket_input) && !self.has_message_to_process() {
                 iterations = 0;
                 self.stream.wait_io();
+            } else if socket_input == SocketInput::OutOfMemory {
+                task::sleep(MEMORY_PAUSE);
             } else {
                 iterations += 1;
                 if iterations % ITERATIONS_BEFORE_PAUSE == 0 {
@@ -147,67 +150,36 @@
         self.check_client_gone();
         self.process_messages();
         self.check_message_timeout();
-        self.flush()?;
+        self.settle_input_charge();
+        self.write_output()?;
         if self.out.pending() == 0 {
             self.on_output_written()?;
         }
         self.publish_status()
     }
 
-    /// Reads the available input, up to a complete message that can be processed.
-    fn read(&mut self) -> Result<SocketInput, Disconnected> {
-        for _ in 0..READS_PER_ITERATION {
-            if !self.should_read() {
-                break;
-            }
-            match read_into(self.stream.socket(), &mut self.input) {
-                Ok(ReadOutcome::Data) => self.read_at = self.manager.handler.facade.now(),
-                Ok(ReadOutcome::WouldBlock) => return Ok(SocketInput::Drained),
-                Ok(ReadOutcome::Closed) => {
-                    self.client_closed = true;
-                    return Ok(SocketInput::Drained);
-                }
-                Err(_) => return Err(Disconnected),
-            }
-            if self.state.on_input() {
-                self.input.clear();
+    /// Writes as much output as the socket accepts. A result is encoded in parts, so that a client that reads
+    /// slowly holds little more than the pages of its result.
+    fn write_output(&mut self) -> Result<(), Disconnected> {
+        loop {
+            let is_encoded = self.encode_result();
+            let progressed = self.out.flush(self.stream.socket()).map_err(|_| Disconnected)?;
+            if progressed || self.out.pending() == 0 {
+                self.last_progress = Instant::now();
             }
-            if self.state.accepts_messages() && self.has_complete_message() {
-                break;
+            if is_encoded || self.out.pending() > 0 {
+                return Ok(());
             }
         }
-        Ok(SocketInput::MayHaveMore)
-    }
-
-    /// Writes as much output as the socket accepts.
-    fn flush(&mut self) -> Result<(), Disconnected> {
-        let progressed = self.out.flush(self.stream.socket()).map_err(|_| Disconnected)?;
-        if progressed || self.out.pending() == 0 {
-            self.last_progress = Instant::now();
-        }
-        Ok(())
-    }
-
-    /// Whether to read more input. A client that does not read its responses, or sends queries faster than
-    /// they run, has to wait: the session buffers at most [`MAX_READ_AHEAD_BYTES`] or one longer message.
-    /// Within that limit it also reads while a query runs, so that it notices when the client disconnects.
-    fn should_read(&self) -> bool {
-        let is_message_incomplete =
-            || self.state.accepts_messages() && self.out.pending() == 0 && !self.has_complete_message();
-        !self.client_closed && (self.input.len() < MAX_READ_AHEAD_BYTES || is_message_incomplete())
-    }
-
-    /// Whether a message can be processed now, without waiting for the socket.
-    fn has_message_to_process(&self) -> bool {
-        self.out.pending() == 0 && self.state.accepts_messages() && self.has_complete_message()
     }
 
-    /// Whether the input begins with a complete or malformed message.
-    fn has_complete_message(&self) -> bool {
-        if self.state.is_startup() {
-            !matches!(frontend::parse_startup(&self.input), Ok(None))
-        } else {
-            !matches!(frontend::parse(&self.input, self.manager.max_message_length), Ok(None))
+    /// Encodes the next part of the result, if one is pending. Returns whether nothing is left to encode.
+    fn encode_result(&mut self) -> bool {
+        let Some(result) = &mut self.result else { return true };
+        let is_encoded = result.encode(self.out.buffer(), MAX_UNWRITTEN_BYTES);
+        if is_encoded {
+            self.result = None;
         }
+        is_encoded
     }
 }
--- a/crates/proxy/src/downstream/postgres/session_manager.rs
+++ b/crates/proxy/src/downstream/postgres/session_manager.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Weak};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::{Duration, Instant};
 
 use may::io::CoIo;
 
@@ -13,10 +13,18 @@
 use super::error::FatalError;
 use super::frontend::CancelKey;
 use super::session::{Session, initial_status};
+use super::session_counts::SessionCounts;
 use super::session_end::{SessionEnd, SessionEndPolicy, shut_down_output};
+use crate::log_limit::LogLimit;
+use crate::memory::MemoryAccount;
+use crate::memory::relief::HeldMemory;
 use crate::request_lifecycle::RequestHandler;
 use crate::stream::{WriteBuffer, discard_input, readable};
-use crate::task;
+use crate::{lock, task};
+
+/// Minimum interval between two evictions of sessions with incomplete messages, in which the evicted one frees
+/// its memory.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(1);
 
 /// State shared by all client sessions.
 pub struct SessionManager {
@@ -28,6 +36,12 @@
     pub(super) end_policy: SessionEndPolicy,
     /// The longest message that a client may send, in bytes.
     pub(super) max_message_length: usize,
+    /// The memory for input that is not processed yet.
+    pub(super) message_memory: Arc<MemoryAccount>,
+    counts: SessionCounts,
+    eviction_log: LogLimit,
+    /// When a session was last evicted because of its incomplete message.
+    message_evicted_at: Mutex<Option<Instant>>,
     next_process_id: AtomicU32,
     cancel_key_seed: u64,
     /// The listening socket; dangling once it is closed.
@@ -38,11 +52,13 @@
 
 impl SessionManager {
     /// Creates a manager without sessions, whose requests run in `handler`. `cancel_key_seed` makes cancel
-    /// keys hard to guess. `max_message_length` is the longest message that a client may send, in bytes.
+    /// keys hard to guess. `max_message_length` is the longest message that a client may send, in bytes, and
+    /// `message_memory` holds the input of all sessions.
     pub fn new(
         handler: Arc<RequestHandler>,
         cancel_key_seed: u64,
         max_message_length: usize,
+        message_memory: Arc<MemoryAccount>,
         listener: &Arc<CoIo<TcpListener>>,
     ) -> Self {
         SessionManager {
@@ -50,6 +66,10 @@
             registry: CancelRegistry::default(),
             end_policy: SessionEndPolicy::new(),
             max_message_length,
+            message_memory,
+            counts: SessionCounts::default(),
+            eviction_log: LogLimit::default(),
+            message_evicted_at: Mutex::default(),
             next_process_id: AtomicU32::new(1),
             cancel_key_seed,
             listener: Arc::downgrade(listener),
@@ -82,6 +102,48 @@
         self.registry.evict_idle_session()
     }
 
+    /// Evicts the session with the oldest incomplete message, because the memory for messages is used up. Does
+    /// nothing while another session that was evicted for this reason still holds memory.
+    pub(super) fn evict_incomplete_message(&self) {
+        let now = Instant::now();
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= EVICTION_INTERVAL;
+        let mut evicted_at = lock(&self.message_evicted_at);
+        if evicted_at.is_none_or(is_due) {
+            *evicted_at = Some(now);
+            self.log_eviction(self.registry.evict_incomplete_message(), "incomplete message");
+        }
+    }
+
+    /// Evicts the session whose client has not read its response for longest, because the memory for requests
+    /// is used up.
+    pub(super) fn evict_slowest_reader(&self) {
+        self.log_eviction(self.registry.evict_slowest_reader(), "unread response");
+    }
+
+    fn log_eviction(&self, evicted: Option<HeldMemory>, cause: &'static str) {
+        let Some(held) = evicted else { return };
+        self.counts.record_eviction();
+        if let Some(unlogged) = self.eviction_log.next_line(Instant::now()) {
+            let input_bytes = held.input_bytes;
+            tracing::warn!(cause, input_bytes, unlogged, "session evicted: memory is used up");
+        }
+    }
+
+    /// Counts a session that ends with this error.
+    pub(super) fn count_failure(&self, error: FatalError) {
+        self.counts.record_failure(error);
+    }
+
+    /// Returns the numbers of open, evicted and failed sessions, as the JSON object that operators read.
+    pub fn counts_json(&self) -> serde_json::Value {
+        self.counts.to_json(self.session_count())
+    }
+
+    /// Returns the memory for input that is not processed yet.
+    pub fn message_memory(&self) -> &Arc<MemoryAccount> {
+        &self.message_memory
+    }
+
     /// Rejects a connection because the maximum number of sessions is open: sends the error and closes the
     /// connection.
     pub fn reject(&self, socket: &TcpStream) {
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -11,6 +11,7 @@
 
 use crate::class_registry::Class;
 use crate::facade::{Rejection, RequestEvent};
+use crate::memory::MemoryCharge;
 use crate::termination::Termination;
 
 /// The client that waits for the response to a request. It can be checked at any moment.
@@ -35,6 +36,8 @@
     pub statement: Vec<u8>,
     /// The client that waits for the response.
     pub client: Arc<dyn Client>,
+    /// The memory of the request, its attempt and its result.
+    pub memory: Arc<MemoryCharge>,
 }
 
 /// A complete query result: pages of rows, in order. A tab separates the columns of a row, and a line feed
--- a/crates/proxy/src/request_lifecycle.rs
+++ b/crates/proxy/src/request_lifecycle.rs
@@ -11,6 +11,7 @@
 use crate::class_registry::{Class, ClassRegistry};
 use crate::config::Names;
 use crate::facade::{AttemptOrder, AttemptReport, Facade, Mailbox, NextStep, RequestEvent, to_duration};
+use crate::memory::{MemoryAccount, MemoryCharge};
 use crate::query::{AttemptResult, LifecycleEvent, Query, Response, UpstreamEvent};
 use crate::termination::Termination;
 use crate::upstream::line_protocol::{UpstreamHandle, UpstreamPool};
@@ -25,6 +26,8 @@
     pub names: Names,
     /// The classes and tenants of the current settings.
     pub classes: ClassRegistry,
+    /// The memory for open requests.
+    pub request_memory: Arc<MemoryAccount>,
     /// Maximum number of open requests; further ones are rejected.
     pub max_open_requests: AtomicUsize,
     /// Serializes updates of the engine list and of the settings, so that a configuration version is
@@ -35,18 +38,21 @@
 }
 
 impl RequestHandler {
-    /// Counts a request as open, in total and in its class, until the returned guard is dropped.
-    pub fn track_open(self: &Arc<Self>, class: &Arc<Class>) -> OpenRequestGuard {
+    /// Counts a request as open, in total and in its class, and keeps its memory charged until the returned
+    /// guard is dropped.
+    pub fn track_open(self: &Arc<Self>, query: &Query) -> OpenRequestGuard {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
-        class.record_opened();
-        OpenRequestGuard { handler: self.clone(), class: class.clone() }
+        query.class.record_opened();
+        let (class, memory) = (query.class.clone(), query.memory.clone());
+        OpenRequestGuard { handler: self.clone(), class, _memory: memory }
     }
 }
 
-/// Counts one request as open until it is dropped.
+/// Counts one request as open, and keeps its memory charged, until it is dropped.
 pub struct OpenRequestGuard {
     handler: Arc<RequestHandler>,
     class: Arc<Class>,
+    _memory: Arc<MemoryCharge>,
 }
 
 impl Drop for OpenRequestGuard {
--- a/crates/proxy/src/server/listener.rs
+++ b/crates/proxy/src/server/listener.rs
@@ -10,6 +10,7 @@
 use may::io::{CoIo, WaitIo as _, WaitIoWaker};
 
 use crate::downstream::postgres::SessionManager;
+use crate::log_limit::LogLimit;
 use crate::task;
 
 /// Connections that the kernel queues until they are accepted.
@@ -22,8 +23,6 @@
 const ACCEPT_BATCH_PAUSE: Duration = Duration::from_millis(1);
 /// Delay between a failed accept and the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// Minimum interval between two log lines about failed accepts.
-const ERROR_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Opens the listening socket: the descriptor `inherited` from the platform, or else a new socket on
 /// `address`.
@@ -66,8 +65,7 @@
     session_manager: Arc<SessionManager>,
     max_sessions: usize,
     is_stopped: Arc<AtomicBool>,
-    /// When a failed accept was last logged.
-    error_logged_at: Option<Instant>,
+    error_log: LogLimit,
 }
 
 /// Stops an [`Acceptor`].
@@ -93,7 +91,7 @@
         max_sessions: usize,
     ) -> Self {
         let is_stopped = Arc::new(AtomicBool::new(false));
-        Acceptor { listener, session_manager, max_sessions, is_stopped, error_logged_at: None }
+        Acceptor { listener, session_manager, max_sessions, is_stopped, error_log: LogLimit::default() }
     }
 
     /// Returns a handle that stops this acceptor.
@@ -102,7 +100,7 @@
     }
 
     /// Accepts clients until the acceptor is stopped. Blocks its coroutine.
-    pub fn run(mut self) {
+    pub fn run(self) {
         let mut accepted = 0;
         loop {
             match self.listener.inner().accept() {
@@ -152,11 +150,10 @@
         self.is_stopped.load(Ordering::Relaxed)
     }
 
-    /// Logs a failed accept, at most once per [`ERROR_LOG_INTERVAL`].
-    fn log_error(&mut self, error: &io::Error) {
-        if self.error_logged_at.is_none_or(|logged_at| logged_at.elapsed() >= ERROR_LOG_INTERVAL) {
-            self.error_logged_at = Some(Instant::now());
-            tracing::warn!("cannot accept a client connection: {error}");
+    /// Logs a failed accept, unless one was logged just before.
+    fn log_error(&self, error: &io::Error) {
+        if let Some(unlogged) = self.error_log.next_line(Instant::now()) {
+            tracing::warn!(unlogged, "cannot accept a client connection: {error}");
         }
     }
 }
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -21,8 +21,7 @@
 
 use self::drain::DrainState;
 use self::listener::{Acceptor, AcceptorHandle};
-use self::resource_limits::ResourceLimits;
-pub use self::resource_limits::{max_open_requests, preallocate_descriptor_table};
+pub use self::resource_limits::{ResourceLimits, max_open_requests, preallocate_descriptor_table};
 use self::status::ReloadCounts;
 use crate::class_registry::ClassRegistry;
 use crate::config::Config;
@@ -31,6 +30,8 @@
 use crate::downstream::postgres::SessionManager;
 use crate::facade::Facade;
 use crate::logging::SetLogDirectives;
+use crate::memory::trim::TrimPolicy;
+use crate::memory::{MemoryAccount, MemoryPlan, PlanError, allocator};
 use crate::request_lifecycle::RequestHandler;
 use crate::upstream::line_protocol::UpstreamPool;
 use crate::{lock, task};
@@ -38,6 +39,9 @@
 /// Interval at which sessions check their timeouts.
 const SESSION_SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which the proxy checks whether to return memory to the system.
+const MEMORY_SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Why the proxy cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -52,6 +56,9 @@
     /// The dispatcher does not accept the settings.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The memory is too small for the descriptors.
+    #[error(transparent)]
+    Memory(#[from] PlanError),
     /// The subscription to the control servers cannot be started.
     #[error(transparent)]
     Subscriber(#[from] client::StartError),
@@ -81,6 +88,8 @@
     drain: DrainState,
     /// Whether the listening socket belongs to the platform, so that a successor accepts from it too.
     has_successor: bool,
+    /// Maximum memory of the process, in bytes.
+    memory_bytes: usize,
     /// Time after SIGTERM by which all accepted requests have their responses, in milliseconds.
     response_window_ms: f64,
 }
@@ -104,9 +113,10 @@
         let listener = listener::open(config.listen_address, inherited)
             .map_err(|source| StartError::Listen { address: config.listen_address, source })?;
         let resources = ResourceLimits::new(&config.limits, has_successor);
+        let memory_plan = resources.memory_plan(&config.limits)?;
         let platform = PlatformConfig::new(&config);
         let stagger_factor = platform.settings.fleet_position.rotation_slot().stagger_factor();
-        let handler = request_handler(&config, &platform, resources)?;
+        let handler = request_handler(&config, &platform, resources, memory_plan)?;
         let endpoint_list = Arc::new(EndpointList::new(handler.clone()));
         endpoint_list.apply_configured_events(config.initial_event_index, &config.initial_events);
         let coordinator =
@@ -118,9 +128,13 @@
             control.map(|control| ConfigSubscriber::start(control, config_applier.clone())).transpose()?;
         let listener = CoIo::new(listener).map_err(|error| StartError::Register(error.into()))?;
         let listener = Arc::new(listener);
-        let max_message_length = resources.max_message_length;
-        let session_manager =
-            SessionManager::new(handler.clone(), config.seed, max_message_length, &listener);
+        let session_manager = SessionManager::new(
+            handler.clone(),
+            config.seed,
+            resources.max_message_length,
+            MemoryAccount::new(memory_plan.message_bytes, memory_plan.small_message_bytes),
+            &listener,
+        );
         let session_manager = Arc::new(session_manager);
         let acceptor = Acceptor::new(listener, session_manager.clone(), resources.max_sessions);
         let server = Server {
@@ -134,6 +148,7 @@
             acceptor: acceptor.handle(),
             drain: DrainState::default(),
             has_successor,
+            memory_bytes: config.limits.memory_bytes,
             response_window_ms: drain::response_window_ms(&config.limits, has_successor),
         };
         server.start_tasks(acceptor)?;
@@ -155,6 +170,8 @@
         let session_manager = self.session_manager.clone();
         task::spawn("session sweeper", move || sweep_sessions(&session_manager))
             .map_err(StartError::Coroutine)?;
+        let accounts = [self.handler.request_memory.clone(), self.session_manager.message_memory().clone()];
+        task::spawn("memory sweeper", move || trim_memory(&accounts)).map_err(StartError::Coroutine)?;
         task::spawn("listener", move || acceptor.run()).map_err(StartError::Coroutine)
     }
 
@@ -177,6 +194,7 @@
     config: &Config,
     platform: &PlatformConfig,
     resources: ResourceLimits,
+    memory_plan: MemoryPlan,
 ) -> Result<Arc<RequestHandler>, SettingsError> {
     let facade = Facade::new(platform.settings.clone(), config.seed)?;
     let classes = ClassRegistry::default();
@@ -187,6 +205,7 @@
         names: config.names.clone(),
         classes,
         open_requests: AtomicUsize::new(0),
+        request_memory: MemoryAccount::new(memory_plan.request_bytes, 0),
         max_open_requests: AtomicUsize::new(config.limits.max_open),
         update_lock: Mutex::new(()),
     }))
@@ -200,3 +219,14 @@
         session_manager.wake_due_sessions();
     }
 }
+
+/// Returns memory to the system after much of it was released. Blocks its coroutine and never returns.
+fn trim_memory(accounts: &[Arc<MemoryAccount>]) {
+    let mut policy = TrimPolicy::default();
+    loop {
+        task::sleep(MEMORY_SWEEP_INTERVAL);
+        if policy.should_trim(accounts.iter().map(|account| account.usage().used).sum()) {
+            allocator::trim();
+        }
+    }
+}
--- a/crates/proxy/src/server/resource_limits.rs
+++ b/crates/proxy/src/server/resource_limits.rs
@@ -1,6 +1,7 @@
 //! Divides the descriptors and the memory of the process between clients and engines.
 
 use crate::config::Limits;
+use crate::memory::{MemoryPlan, PlanError};
 
 /// Maximum number of descriptors reserved for uses other than clients and engines.
 const MAX_RESERVED_DESCRIPTORS: usize = 32;
@@ -41,6 +42,15 @@
             (limits.memory_bytes / MESSAGE_MEMORY_DIVISOR / max_sessions).max(MIN_MAX_MESSAGE_LENGTH);
         ResourceLimits { max_sessions, upstream_descriptors, max_message_length }
     }
+
+    /// Divides the memory for these sessions and their messages.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the memory is too small for the descriptors.
+    pub fn memory_plan(&self, limits: &Limits) -> Result<MemoryPlan, PlanError> {
+        MemoryPlan::new(limits, self.max_sessions, self.max_message_length)
+    }
 }
 
 /// Returns the maximum number of open requests: the configured one, limited so that a tenth of the client
--- a/crates/proxy/src/server/status.rs
+++ b/crates/proxy/src/server/status.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use super::Server;
+use crate::memory::MemoryAccount;
+use crate::memory::account::AccountUsage;
 
 /// Number of reloads of the configuration file since the start, by result.
 #[derive(Debug, Default)]
@@ -44,6 +46,20 @@
         }
     }
 
+    /// Returns the memory statistics of `/ops/memory`.
+    pub fn memory_json(&self) -> serde_json::Value {
+        let account = |account: &MemoryAccount| {
+            let AccountUsage { limit, used, peak, failed_charges } = account.usage();
+            serde_json::json!({"limit": limit, "used": used, "peak": peak, "failed_charges": failed_charges})
+        };
+        serde_json::json!({
+            "limit": self.memory_bytes,
+            "messages": account(self.session_manager.message_memory()),
+            "requests": account(&self.handler.request_memory),
+            "sessions": self.session_manager.counts_json(),
+        })
+    }
+
     /// Returns the statistics of `/ops/stats`.
     pub fn stats_json(&self) -> serde_json::Value {
         let reloads = &self.reload_counts;
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -242,6 +242,11 @@
         self.wait()
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child().try_wait().unwrap().is_none()
+    }
+
     /// Waits until the process ends.
     pub fn wait(&mut self) -> ExitStatus {
         self.child().wait().unwrap()
--- /dev/null
+++ b/tests/memory_limit/main.rs
@@ -0,0 +1,136 @@
+//! The memory of a proxy whose clients and engines flood it, against the limit in its settings. Each flood keeps
+//! every message within its own limit; only the sum of all of them is large.
+#![allow(clippy::unwrap_used, reason = "helpers of tests: a failed unwrap is a failed test")]
+
+#[path = "../common/proxy.rs"]
+mod proxy;
+
+mod emulated_engine;
+mod flood;
+
+use std::time::{Duration, Instant};
+
+use emulated_engine::{Behaviour, EmulatedEngine};
+use flood::{Crowd, Flood};
+use proxy::{Client, Launch, Proxy, query, wait_within};
+
+/// The least memory with 1,024 descriptors that docs/capacity.md names, in MB.
+const LEAST_MEMORY_MB: usize = 32;
+/// How much longer a bystander may wait for its response than without the flood.
+const MAX_BYSTANDER_DELAY: Duration = Duration::from_millis(200);
+/// Time within which the memory that a flood took is given back.
+const GIVE_BACK_TIME: Duration = Duration::from_secs(10);
+/// Clients of one flood: with the bystanders somewhat fewer than the sessions that the descriptors allow.
+const CLIENTS: usize = 390;
+
+/// Starts a proxy with this limit and 1,024 descriptors.
+fn start(memory_mb: usize, engine: &EmulatedEngine) -> Proxy {
+    let limits = format!(r#""limits":{{"memory_mb":{memory_mb},"sockets":1024}}"#);
+    let edit_config = |text: String| text.replace(r#""limits":{"sockets":256}"#, &limits);
+    Launch { edit_config: &edit_config, ..Launch::new(&[&engine.engine]) }.start()
+}
+
+/// A field of `/proc/PID/status` in KB.
+fn kilobytes(proxy: &Proxy, name: &str) -> usize {
+    proxy.status(name).trim_end_matches(" kB").parse().unwrap()
+}
+
+/// How long a new client waits for the response to an empty query.
+fn bystander_wait(proxy: &Proxy) -> Duration {
+    let began = Instant::now();
+    assert_eq!(Client::open(proxy.address).request(""), "I", "a bystander is served");
+    began.elapsed()
+}
+
+/// Floods a proxy with all of `floods` together, and checks its memory, its bystanders, and that it gives the
+/// memory back and serves on.
+fn check(memory_mb: usize, behaviour: Behaviour, floods: &[Flood]) {
+    let what = format!("{floods:?}, {behaviour:?}, {memory_mb} MB");
+    let engine = EmulatedEngine::start(behaviour);
+    let mut proxy = start(memory_mb, &engine);
+    let at_rest_kb = kilobytes(&proxy, "VmRSS:");
+    let undisturbed_wait = bystander_wait(&proxy);
+    let mut crowd = Crowd::connect(proxy.address, CLIENTS, floods);
+    let mut longest_wait = Duration::ZERO;
+    crowd.write_for(flood::DURATION, || longest_wait = longest_wait.max(bystander_wait(&proxy)));
+    let peak_kb = kilobytes(&proxy, "VmHWM:");
+    assert!(peak_kb <= memory_mb * 1024, "{what}: {peak_kb} KB at the peak");
+    assert!(
+        longest_wait < undisturbed_wait + MAX_BYSTANDER_DELAY,
+        "{what}: a bystander waited {longest_wait:?}"
+    );
+    drop(crowd);
+    let resident_limit_kb = at_rest_kb + memory_mb * 1024 / 4;
+    wait_within(GIVE_BACK_TIME, &format!("{what}: the memory is given back"), || {
+        kilobytes(&proxy, "VmRSS:") <= resident_limit_kb
+    });
+    assert!(proxy.is_running(), "{what}: the process ended");
+    engine.set_behaviour(Behaviour::Serve);
+    wait_within(GIVE_BACK_TIME, &format!("{what}: a query is served after the flood"), || {
+        proxy.client().request(&query("load", rand_id(), 4_000)) == "TDC"
+    });
+}
+
+/// A request id that no other request of this test has.
+fn rand_id() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(1 << 40);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// Guards against buffers that add up: hundreds of clients that each stop inside a large query.
+#[test]
+fn hundreds_of_half_written_queries_stay_within_the_memory_limit() {
+    check(LEAST_MEMORY_MB, Behaviour::Serve, &[Flood::HalfQuery]);
+}
+
+/// Guards against buffers that add up: heads of very many short fields, complete and incomplete.
+#[test]
+fn queries_with_thousands_of_short_fields_stay_within_the_memory_limit() {
+    check(LEAST_MEMORY_MB, Behaviour::Serve, &[Flood::ShortFields]);
+}
+
+/// Guards against buffers that add up: startup messages that never end, and clients that write slowly.
+#[test]
+fn half_written_startups_and_slow_writers_stay_within_the_memory_limit() {
+    check(LEAST_MEMORY_MB, Behaviour::Serve, &[Flood::HalfStartup, Flood::SlowQuery]);
+}
+
+/// Guards against statements and commands that add up, for engines that never answer or never read.
+#[test]
+fn large_queries_that_wait_for_engines_stay_within_the_memory_limit() {
+    check(LEAST_MEMORY_MB, Behaviour::Silent, &[Flood::LargeQuery]);
+    check(LEAST_MEMORY_MB, Behaviour::Unread, &[Flood::LargeQuery]);
+}
+
+/// Guards against results that add up where clients do not read them.
+#[test]
+fn unread_results_and_unread_errors_stay_within_the_memory_limit() {
+    check(LEAST_MEMORY_MB, Behaviour::ServeLarge, &[Flood::UnreadResult]);
+    check(LEAST_MEMORY_MB, Behaviour::Serve, &[Flood::UnreadErrors]);
+}
+
+/// Guards against input that is read ahead while queries run.
+#[test]
+fn input_ahead_of_responses_stays_within_the_memory_limit() {
+    check(LEAST_MEMORY_MB, Behaviour::Silent, &[Flood::ReadAhead]);
+}
+
+/// Guards against answers of engines that never end, while clients flood too.
+#[test]
+fn endless_answers_stay_within_the_memory_limit() {
+    check(LEAST_MEMORY_MB, Behaviour::Endless, &[Flood::SmallQuery, Flood::HalfQuery]);
+}
+
+/// Pairs of floods at each limit, drawn from a seed. `GAUGESTEP_FLOOD_SEEDS=FIRST..END` plays other seeds.
+#[test]
+fn pairs_of_floods_stay_within_each_memory_limit() {
+    for seed in flood::seeds(0..4) {
+        let mut random = oorandom::Rand32::new(seed);
+        let memory_mb = [LEAST_MEMORY_MB, 48, 64, 192][random.rand_range(0..4) as usize];
+        let behaviour = Behaviour::ALL[random.rand_range(0..Behaviour::ALL.len() as u32) as usize];
+        let pair = [0; 2].map(|_: u8| Flood::ALL[random.rand_range(0..Flood::ALL.len() as u32) as usize]);
+        println!("seed {seed}: {pair:?}, {behaviour:?}, {memory_mb} MB");
+        check(memory_mb, behaviour, &pair);
+    }
+}
