--- a/crates/proxy/src/downstream/postgres/session/input.rs
+++ b/crates/proxy/src/downstream/postgres/session/input.rs
@@ -9,7 +9,7 @@
 };
 
 /// Maximum number of reads in one iteration of the event loop.
-const READS_PER_ITERATION: usize = 16;
+const READS_PER_ITERATION: usize = 4;
 
 /// Whether the socket may have more input after a read.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -42,6 +42,7 @@
                 }
                 Err(_) => return Err(Disconnected),
             }
+            self.reads_since_pause += 1;
             if self.state.on_input() {
                 self.input = Vec::new();
             }
--- a/crates/proxy/src/downstream/postgres/session/mod.rs
+++ b/crates/proxy/src/downstream/postgres/session/mod.rs
@@ -39,6 +39,8 @@
 const MESSAGES_PER_ITERATION: usize = 16;
 /// Number of iterations without a wait after which a session pauses, so that other sessions can run.
 const ITERATIONS_BEFORE_PAUSE: usize = 8;
+/// Number of reads without a wait after which a session pauses, whatever its iterations.
+const READS_BEFORE_PAUSE: usize = 4;
 /// How long a session pauses then. It sleeps, because a coroutine that yields runs again before any other
 /// socket is read.
 const LOOP_PAUSE: Duration = Duration::from_millis(1);
@@ -59,6 +61,8 @@
     out: WriteBuffer,
     /// The part of a result that is not in `out` yet.
     result: Option<ResultEncoder>,
+    /// Number of reads since the session last waited or paused.
+    reads_since_pause: usize,
     /// When input was last read, on the facade's clock.
     read_at: Millis,
     /// When the first bytes of the incomplete message arrived, or when the session started if it waits for
@@ -98,6 +102,7 @@
             input_charge: manager.message_memory.empty_charge(),
             out: WriteBuffer::default(),
             result: None,
+            reads_since_pause: 0,
             read_at: 0.0,
             message_started_at: Some(started_at),
             last_progress: started_at,
@@ -113,20 +118,23 @@
         let first_read = self.read();
         self.manager.on_first_read();
         let mut read = first_read;
-        let mut iterations = 0;
+        let mut iterations_since_pause = 0;
         while let Ok(socket_input) = read {
             if self.process_events().is_err() {
                 return;
             }
             if self.may_wait(socket_input) && !self.has_message_to_process() {
-                iterations = 0;
                 self.stream.wait_io();
+                (iterations_since_pause, self.reads_since_pause) = (0, 0);
             } else if socket_input == SocketInput::OutOfMemory {
                 task::sleep(MEMORY_PAUSE);
             } else {
-                iterations += 1;
-                if iterations % ITERATIONS_BEFORE_PAUSE == 0 {
+                iterations_since_pause += 1;
+                let must_pause = iterations_since_pause >= ITERATIONS_BEFORE_PAUSE
+                    || self.reads_since_pause >= READS_BEFORE_PAUSE;
+                if must_pause {
                     task::sleep(LOOP_PAUSE);
+                    (iterations_since_pause, self.reads_since_pause) = (0, 0);
                 }
             }
             read = self.read();
