--- a/crates/proxy/src/downstream/postgres/request.rs
+++ b/crates/proxy/src/downstream/postgres/request.rs
@@ -6,7 +6,8 @@
 use gaugestep_dispatch::interface::{Millis, NewRequest, TableSetId, TenantId};
 
 use super::error::QueryError;
-use crate::downstream::{request_fields, table_group::table_group};
+use crate::downstream::request_fields::{self, excerpt};
+use crate::downstream::table_group::table_group;
 use crate::facade::request_id;
 use crate::memory::plan::request_charge;
 use crate::query::{Client, Query};
@@ -32,10 +33,10 @@
     let active = handler.classes.active();
     let (fields, statement) = request_fields::parse(text)?;
     let class =
-        active.class(fields.method).ok_or_else(|| QueryError::UnknownClass(fields.method.to_owned()))?;
+        active.class(fields.method).ok_or_else(|| QueryError::UnknownClass(excerpt(fields.method)))?;
     let tenant = match fields.acct {
         None => 0,
-        Some(name) => active.tenant(name).ok_or_else(|| QueryError::UnknownTenant(name.to_owned()))?,
+        Some(name) => active.tenant(name).ok_or_else(|| QueryError::UnknownTenant(excerpt(name)))?,
     };
     if handler.open_requests.load(Ordering::Relaxed) >= handler.max_open_requests.load(Ordering::Relaxed) {
         class.record_rejected();
--- a/crates/proxy/src/downstream/request_fields.rs
+++ b/crates/proxy/src/downstream/request_fields.rs
@@ -10,6 +10,9 @@
 /// (MB).
 const MAX_NUMBER: f64 = 1e9;
 
+/// The longest comment with fields, in bytes. Its fields are parsed while other clients wait.
+const MAX_COMMENT_BYTES: usize = 8 * 1024;
+
 /// The length of a request id, in hexadecimal digits.
 const REQUEST_ID_LENGTH: usize = 16;
 
@@ -40,6 +43,9 @@
     /// The comment has no end.
     #[error("the comment with the fields does not end")]
     CommentUnterminated,
+    /// The comment does not end within the maximum length.
+    #[error("the comment with the fields is longer than {MAX_COMMENT_BYTES} bytes")]
+    CommentTooLong,
     /// The comment is not UTF-8.
     #[error("the fields are not UTF-8")]
     FieldsNotUtf8,
@@ -93,16 +99,18 @@
 fn split_comment(query: &[u8]) -> Result<(&[u8], &[u8]), RequestFieldError> {
     let query = query.trim_ascii_start();
     let comment = query.strip_prefix(b"/*").ok_or(RequestFieldError::CommentMissing)?;
-    let end =
-        comment.windows(2).position(|pair| pair == b"*/").ok_or(RequestFieldError::CommentUnterminated)?;
+    let limited = &comment[..comment.len().min(MAX_COMMENT_BYTES)];
+    let end = limited.windows(2).position(|pair| pair == b"*/").ok_or_else(|| {
+        let is_too_long = limited.len() < comment.len();
+        if is_too_long { RequestFieldError::CommentTooLong } else { RequestFieldError::CommentUnterminated }
+    })?;
     Ok((&comment[..end], comment[end + 2..].trim_ascii_start()))
 }
 
 fn parse_fields(comment: &str) -> Result<RequestFields<'_>, RequestFieldError> {
     let mut fields = RequestFields::default();
     for pair in comment.split(',').map(str::trim).filter(|pair| !pair.is_empty()) {
-        let (name, value) =
-            pair.split_once('=').ok_or_else(|| RequestFieldError::NotAPair(pair.to_owned()))?;
+        let (name, value) = pair.split_once('=').ok_or_else(|| RequestFieldError::NotAPair(excerpt(pair)))?;
         match name {
             "method" => fields.method = value,
             "rid" => fields.rid = value,
@@ -117,7 +125,7 @@
     let is_id =
         fields.rid.len() == REQUEST_ID_LENGTH && fields.rid.bytes().all(|byte| byte.is_ascii_hexdigit());
     if !is_id {
-        return Err(RequestFieldError::InvalidId(fields.rid.to_owned()));
+        return Err(RequestFieldError::InvalidId(excerpt(fields.rid)));
     }
     // The default of 0 marks a missing budget.
     if fields.budget <= 0.0 || fields.budget > MAX_TIME_BUDGET {
@@ -130,7 +138,17 @@
 fn parse_numeric_field(name: &str, value: &str) -> Result<f64, RequestFieldError> {
     match value.parse::<f64>() {
         Ok(number) if (0.0..=MAX_NUMBER).contains(&number) => Ok(number),
-        _ => Err(RequestFieldError::InvalidNumber { name: name.to_owned(), value: value.to_owned() }),
+        _ => Err(RequestFieldError::InvalidNumber { name: name.to_owned(), value: excerpt(value) }),
+    }
+}
+
+/// Returns the beginning of a text that a client sent, for an error message.
+pub fn excerpt(text: &str) -> String {
+    /// The longest excerpt, in characters.
+    const MAX_LENGTH: usize = 100;
+    match text.char_indices().nth(MAX_LENGTH) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
     }
 }
 
--- a/crates/proxy/src/upstream/line_protocol/message.rs
+++ b/crates/proxy/src/upstream/line_protocol/message.rs
@@ -6,6 +6,8 @@
 
 /// Maximum length of the first line of a message, in bytes.
 const MAX_LINE_LENGTH: usize = 4 * 1024;
+/// The part of a malformed line that is logged.
+const MAX_LOGGED_CHARACTERS: usize = 100;
 /// Maximum length of a page, in bytes.
 const MAX_PAGE_LENGTH: usize = 6_000;
 /// Number of columns in each row of a page.
@@ -120,6 +122,7 @@
         let (Some(id), Some(kind), Some(fields), Some(body_length), None) =
             (words.next(), words.next(), words.next(), words.next(), words.next())
         else {
+            let line: String = line.chars().take(MAX_LOGGED_CHARACTERS).collect();
             tracing::warn!(line, "malformed message");
             return Err(MessageError::WordCount);
         };
--- a/crates/proxy/tests/unit/request_fields.rs
+++ b/crates/proxy/tests/unit/request_fields.rs
@@ -56,3 +56,14 @@
     query.push(0xff);
     assert_eq!(parse(&query), Err(RequestFieldError::StatementNotUtf8));
 }
+
+/// Guards against the work and the memory of comments with thousands of fields, and of errors that repeat them.
+#[test]
+fn a_long_comment_is_rejected_and_errors_repeat_only_the_beginning_of_a_field() {
+    let many_fields =
+        format!("/* {}method=report,rid=0123456789abcdef,budget=10 */ SELECT 1", "a=1,".repeat(3_000));
+    assert_eq!(parse(many_fields.as_bytes()), Err(RequestFieldError::CommentTooLong));
+    let long_field = format!("/* {} */ SELECT 1", "\u{e9}".repeat(2_000));
+    let error = parse(long_field.as_bytes()).expect_err("no pair").to_string();
+    assert!(error.len() < 300 && error.contains("..."), "{error}");
+}
