--- a/crates/proxy/src/downstream/postgres/cancel_registry.rs
+++ b/crates/proxy/src/downstream/postgres/cancel_registry.rs
@@ -112,12 +112,16 @@
         self.stream.upgrade().is_none_or(|stream| peer_closed(stream.socket()))
     }
 
+    /// Whether the connection has input that the session has not read. Polls the socket.
+    pub fn has_unread_input(&self) -> bool {
+        self.stream.upgrade().is_some_and(|stream| readable(stream.socket()))
+    }
+
     /// Whether a query is running, or has arrived in full or in part. A session that is starting or closing,
     /// or that has unwritten output, counts too.
     fn has_query(&self) -> bool {
         let SessionStatus { phase, wake_at, .. } = *lock(&self.status);
-        let has_input = || self.stream.upgrade().is_some_and(|stream| readable(stream.socket()));
-        phase != Phase::Idle || wake_at.is_some() || has_input()
+        phase != Phase::Idle || wake_at.is_some() || self.has_unread_input()
     }
 
     /// Whether the session must be woken at `now` to check its timeouts.
--- a/crates/proxy/src/downstream/postgres/client_handle.rs
+++ b/crates/proxy/src/downstream/postgres/client_handle.rs
@@ -45,6 +45,10 @@
             || self.session.is_disconnected()
     }
 
+    fn has_unread_own_input(&self) -> bool {
+        self.session.has_unread_input()
+    }
+
     fn has_unread_input(&self) -> bool {
         self.manager.has_unread_input()
     }
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -20,6 +20,10 @@
     /// noticed yet.
     fn is_gone(&self) -> bool;
 
+    /// Whether the client's own connection has input that its session has not read. A close may wait behind
+    /// it, which the proxy cannot see until the input is read.
+    fn has_unread_own_input(&self) -> bool;
+
     /// Whether a client connection has input that the proxy has not read: it may be a cancel request for
     /// this request.
     fn has_unread_input(&self) -> bool;
--- a/crates/proxy/src/upstream/line_protocol/attempt.rs
+++ b/crates/proxy/src/upstream/line_protocol/attempt.rs
@@ -57,6 +57,8 @@
     pub queued: Option<QueuedAttempt>,
     /// Offset of the command's first byte in the output of the connection.
     pub start_offset: u64,
+    /// Offset after the command's last byte in the output of the connection.
+    pub end_offset: u64,
     /// Whether the attempt was moved here from a connection that closed before the command was written.
     pub was_moved: bool,
     /// The connection of the attempt, shared with the attempt's handle.
@@ -72,6 +74,7 @@
         ActiveAttempt {
             queued: Some(queued),
             start_offset: 0,
+            end_offset: 0,
             was_moved: false,
             slot: ConnectionSlot::default(),
             number,
--- a/crates/proxy/src/upstream/line_protocol/connection.rs
+++ b/crates/proxy/src/upstream/line_protocol/connection.rs
@@ -9,6 +9,7 @@
 use gaugestep_dispatch::interface::EngineId;
 use may::io::WaitIo as _;
 use may::net::TcpStream;
+use socket2::SockRef;
 
 use super::connection_state::{ClosedConnection, ConnectionState};
 use super::pool::UpstreamPool;
@@ -18,6 +19,8 @@
 
 /// Pending output above which the engine counts as silent, because it does not read.
 const MAX_PENDING_BYTES: usize = 1024 * 1024;
+/// Output that the kernel holds beyond the window of an engine.
+const MAX_UNSENT_BYTES: u32 = 16 * 1024;
 /// How many times in a row the writing of queued attempts is deferred while clients have unread input, which
 /// may cancel the attempts.
 const MAX_WRITE_DEFERRALS: u32 = 8;
@@ -97,6 +100,8 @@
         let stream = connected.map_err(|error| dial_termination(&error))?;
         // If TCP_NODELAY cannot be set, the connection is slower but works.
         let _ = stream.set_nodelay(true);
+        // Without the limit, a command for an engine that does not read may arrive after its client has left.
+        let _ = SockRef::from(stream.socket()).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         // Setting the waker cannot fail, because a connection is established only once.
         let _ = self.waker.set(stream.waker());
         lock(&self.state).on_established();
@@ -149,7 +154,7 @@
 enum WriteOutcome {
     /// They were added to the output, which was written as far as the socket accepted it.
     Written,
-    /// They are deferred until unread input of clients, which may cancel them, has been read.
+    /// Some are deferred until unread input of clients, which may cancel them, has been read.
     Deferred,
 }
 
@@ -242,13 +247,15 @@
             return ControlFlow::Continue(WriteOutcome::Deferred);
         }
         self.write_deferrals = 0;
+        let mut waits_for_client = false;
         if !self.write_failed {
-            state.write_queued();
+            waits_for_client = state.write_queued();
             self.write_failed = state.out.flush(self.stream.socket()).is_err();
         }
         if state.out.pending() > MAX_PENDING_BYTES {
             return ControlFlow::Break(Termination::Silent);
         }
-        ControlFlow::Continue(WriteOutcome::Written)
+        let outcome = if waits_for_client { WriteOutcome::Deferred } else { WriteOutcome::Written };
+        ControlFlow::Continue(outcome)
     }
 }
--- a/crates/proxy/src/upstream/line_protocol/connection_state.rs
+++ b/crates/proxy/src/upstream/line_protocol/connection_state.rs
@@ -104,12 +104,17 @@
         self.attempts.insert(id, attempt);
     }
 
-    /// Removes an attempt without reporting its end, and cancels its query if the command was sent. Returns
-    /// false if the attempt is not on this connection.
+    /// Removes an attempt without reporting its end, and cancels its query if the command was sent. A
+    /// connection whose engine has not read all of the only attempt's command is closed, so that the rest does
+    /// not arrive later. Returns false if the attempt is not on this connection.
     pub fn cancel(&mut self, id: &str) -> bool {
         let Some(attempt) = self.attempts.remove(id) else { return false };
+        let is_command_pending = attempt.end_offset > self.out.written_offset();
         match attempt.queued {
             Some(_) => {}
+            None if is_command_pending && self.attempts.is_empty() => {
+                self.phase = Phase::Closing(Termination::Cancelled);
+            }
             None if attempt.has_result() => command::release(self.out.buffer(), id),
             None => command::cancel(self.out.buffer(), id),
         }
@@ -133,28 +138,37 @@
         self.end_queued(|_| Some(Termination::NeverWritten));
     }
 
-    /// Adds the commands of all queued attempts to the output, provided that the socket has accepted all
-    /// earlier output. Obsolete attempts end instead.
+    /// Adds the commands of the queued attempts to the output, provided that the socket has accepted all
+    /// earlier output. Obsolete attempts end instead, and attempts whose clients have sent input that is not
+    /// read yet stay queued: their clients' close may follow it. Returns whether such attempts are queued.
     ///
     /// Because commands are added only then, no attempt starts after its client has left or after the latest
     /// time at which it may be written.
-    pub fn write_queued(&mut self) {
+    pub fn write_queued(&mut self) -> bool {
         let now = Instant::now();
         if self.out.pending() > 0 || self.attempts.values().all(|attempt| attempt.queued.is_none()) {
-            return;
+            return false;
         }
         self.end_queued(|queued| queued.obsolete_reason(now));
         if self.attempts.values().all(|attempt| attempt.queued.is_some()) {
             // No attempt was in flight, so the engine had no reason to send anything until now.
             self.health.reset_silence(now);
         }
+        let mut waits_for_client = false;
         for (id, attempt) in &mut self.attempts {
+            let may_have_left = |queued: &QueuedAttempt| queued.query.client.has_unread_own_input();
+            if attempt.queued.as_ref().is_some_and(may_have_left) {
+                waits_for_client = true;
+                continue;
+            }
             let Some(queued) = attempt.queued.take() else { continue };
             attempt.start_offset = self.out.end_offset();
             self.attempts_sent.fetch_add(1, Ordering::Relaxed);
             let remaining_time = queued.deadline.saturating_duration_since(now);
             command::serve(self.out.buffer(), id, &queued.query, queued.priority, remaining_time);
+            attempt.end_offset = self.out.end_offset();
         }
+        waits_for_client
     }
 
     /// Whether there is unread input of clients that may cancel one of the queued attempts.
--- a/tests/event_races/client_leaves.rs
+++ b/tests/event_races/client_leaves.rs
@@ -1,6 +1,6 @@
 //! A client closes, cancels or disconnects at the moment at which its request is sent, retried or relaunched.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
@@ -89,6 +89,45 @@
     assert_eq!(proxy.attempts_once_idle(), 2);
 }
 
+/// Guards against attempts for a client whose close cannot arrive before the proxy has read what it sent ahead.
+#[test]
+fn a_query_is_not_sent_while_the_close_of_its_client_waits_behind_unread_input() {
+    let engine = Engine::new();
+    let proxy = Proxy::start(&[&engine]);
+    let mut connection = open_idle_connection(&proxy, &engine, 1);
+    for id in 2..6 {
+        let mut client = proxy.client();
+        proxy.suspend();
+        client.send(&query("lookup", id, 15_000));
+        client.socket.set_nonblocking(true).unwrap();
+        while (&client.socket).write(&b"Q\0\0\0\x05\0".repeat(10_000)).is_ok() {}
+        drop(client);
+        proxy.resume();
+        assert_eq!(proxy.attempts_once_idle(), 1, "the query of a client that has left is sent");
+    }
+    assert_only_next_query_arrives(&proxy, &mut connection);
+}
+
+/// Guards against commands that wait for an engine that does not read, and arrive after the client has left.
+#[test]
+fn a_command_that_its_engine_has_not_read_is_abandoned_when_its_client_leaves() {
+    let engine = Engine::new();
+    socket2::SockRef::from(&engine.0).set_recv_buffer_size(4096).unwrap();
+    let few_descriptors = |text: String| text.replace(r#""sockets":256"#, r#""sockets":64"#);
+    let proxy = Launch { edit_config: &few_descriptors, ..Launch::new(&[&engine]) }.start();
+    let mut client = proxy.client();
+    // Far more than the socket buffers between proxy and engine hold.
+    let statement = "x".repeat(900_000);
+    client.send(&format!("/* method=load,rid={:016x},budget=9000 */ SELECT '{statement}'", 1));
+    let mut connection = engine.accept();
+    wait_within(TIMEOUT, "the attempt is sent", || proxy.statistic("/forwards") == Some(1));
+    client.close();
+    wait_within(TIMEOUT, "the request ends", || proxy.statistic("/outstanding") == Some(0));
+    let mut arrived = Vec::new();
+    connection.0.read_to_end(&mut arrived).ok();
+    assert!(arrived.len() < statement.len(), "the complete command arrived after the client had left");
+}
+
 #[test]
 fn a_query_that_is_read_together_with_its_cancel_is_not_sent() {
     let engine = Engine::new();
