--- a/crates/proxy/src/discovery/endpoint.rs
+++ b/crates/proxy/src/discovery/endpoint.rs
@@ -18,6 +18,10 @@
     pub cell: u64,
     /// Whether the engine accepts attempts.
     pub readiness: Readiness,
+    /// Address of the engine; `None` if the list has none.
+    pub address: Option<SocketAddr>,
+    /// Unix time in milliseconds at which the engine started; `None` if the list has none.
+    pub up_since: Option<Millis>,
 }
 
 /// Why an entry of the list cannot be decoded.
--- a/crates/proxy/src/discovery/endpoint_list.rs
+++ b/crates/proxy/src/discovery/endpoint_list.rs
@@ -97,7 +97,7 @@
         let mut entries = Vec::with_capacity(members.len());
         for member in members {
             match EndpointUpdate::decode(member) {
-                Ok(update) => entries.extend(self.apply_update(&update)),
+                Ok(update) => self.apply_update(update, &mut entries),
                 Err(error) => tracing::warn!("endpoint of a discovery event ignored: {error}"),
             }
         }
@@ -118,18 +118,30 @@
         self.handler.upstream_pool.retain_only(&engines);
     }
 
-    /// Applies the update of one endpoint. Returns the entry for the dispatcher; `None` if the update removes
-    /// an endpoint that is not listed.
-    fn apply_update(&self, update: &EndpointUpdate) -> Option<EngineEntry> {
-        let Some(engine) = self.store_update(update) else {
-            tracing::warn!(name = update.name, "removal of an endpoint that is not listed");
-            return None;
+    /// Applies the update of one endpoint, and appends its entry for the dispatcher, if it is listed. An engine
+    /// that another one replaces at its address is removed, because its process has gone.
+    fn apply_update(&self, mut update: EndpointUpdate, entries: &mut Vec<EngineEntry>) {
+        match lock(&self.state).conflict(&update) {
+            None => {}
+            Some(AddressConflict::Replaces(engine)) => {
+                tracing::info!(
+                    name = update.name,
+                    replaced = engine.0,
+                    "endpoint replaces another at its address"
+                );
+                self.handler.upstream_pool.update_endpoint(engine, None, Readiness::Gone, false);
+                entries.push(EngineEntry { engine, readiness: Readiness::Gone, ..EngineEntry::default() });
+            }
+            Some(AddressConflict::IsReplaced) => update.readiness = Readiness::Gone,
+        }
+        let Some(StoredUpdate { engine, has_restarted }) = lock(&self.state).store(&update) else {
+            return tracing::warn!(name = update.name, "removal of an endpoint that is not listed");
         };
-        let EndpointUpdate { name, address, readiness, .. } = *update;
-        self.handler.upstream_pool.update_endpoint(engine, address, readiness);
-        tracing::info!(name, ?readiness, engine = engine.0, ?address, "endpoint updated");
+        let EndpointUpdate { name, address, readiness, .. } = update;
+        self.handler.upstream_pool.update_endpoint(engine, address, readiness, has_restarted);
+        tracing::info!(name, ?readiness, engine = engine.0, ?address, has_restarted, "endpoint updated");
         let names = &self.handler.names;
-        Some(EngineEntry {
+        entries.push(EngineEntry {
             engine,
             zone: ZoneId(name_index(&names.zones, update.zone).unwrap_or(0)),
             machine_type: MachineTypeId(
@@ -139,21 +151,56 @@
             readiness,
             started_at: update.up_since.map(|at| self.handler.facade.unix_to_clock(at)),
             name_key: gaugestep_subsetting::key(name),
-        })
+        });
     }
+}
 
-    /// Adds, changes or deletes an endpoint on the list. Returns its engine; `None` if the update removes an
-    /// endpoint that is not listed.
-    fn store_update(&self, update: &EndpointUpdate) -> Option<EngineId> {
-        let mut state = lock(&self.state);
+/// Two endpoints of different names with the same address: only one process can listen there.
+enum AddressConflict {
+    /// The update replaces this engine, which is removed from the list.
+    Replaces(EngineId),
+    /// The update is about an engine that drains, and another one at its address is up already.
+    IsReplaced,
+}
+
+/// The result of an update that is stored in the list.
+struct StoredUpdate {
+    engine: EngineId,
+    /// Whether the update shows that the engine has started again.
+    has_restarted: bool,
+}
+
+impl ListState {
+    /// Resolves a conflict of the update's address with that of another endpoint: the later one replaces the
+    /// earlier one, unless only the earlier one is up. Removes a replaced endpoint.
+    fn conflict(&mut self, update: &EndpointUpdate) -> Option<AddressConflict> {
+        let address = update.address.filter(|_| update.readiness != Readiness::Gone)?;
+        let has_address =
+            |name: &String, endpoint: &Endpoint| name != update.name && endpoint.address == Some(address);
+        let (name, other) = self.endpoints.iter().find(|(name, endpoint)| has_address(name, endpoint))?;
+        if update.readiness == Readiness::Draining && other.readiness == Readiness::Up {
+            return Some(AddressConflict::IsReplaced);
+        }
+        let (name, engine) = (name.clone(), other.engine);
+        self.endpoints.remove(&name);
+        Some(AddressConflict::Replaces(engine))
+    }
+
+    /// Adds, changes or deletes an endpoint on the list. Returns `None` if the update removes an endpoint that
+    /// is not listed.
+    fn store(&mut self, update: &EndpointUpdate) -> Option<StoredUpdate> {
         if update.readiness == Readiness::Gone {
-            return state.endpoints.remove(update.name).map(|endpoint| endpoint.engine);
+            let removed = self.endpoints.remove(update.name)?;
+            return Some(StoredUpdate { engine: removed.engine, has_restarted: false });
         }
-        let engine = match state.endpoints.get(update.name) {
+        let listed = self.endpoints.get(update.name);
+        let listed_since = listed.and_then(|endpoint| endpoint.up_since);
+        let has_restarted = listed.is_some() && update.up_since.is_some_and(|at| Some(at) != listed_since);
+        let engine = match listed {
             Some(endpoint) => endpoint.engine,
             None => {
-                state.next_engine += 1;
-                EngineId(state.next_engine - 1)
+                self.next_engine += 1;
+                EngineId(self.next_engine - 1)
             }
         };
         let endpoint = Endpoint {
@@ -162,9 +209,11 @@
             machine_type: update.machine_type.unwrap_or_default().to_owned(),
             cell: update.cell,
             readiness: update.readiness,
+            address: update.address.or_else(|| listed.and_then(|endpoint| endpoint.address)),
+            up_since: update.up_since.or(listed_since),
         };
-        state.endpoints.insert(update.name.to_owned(), endpoint);
-        Some(engine)
+        self.endpoints.insert(update.name.to_owned(), endpoint);
+        Some(StoredUpdate { engine, has_restarted })
     }
 }
 
--- a/crates/proxy/src/upstream/line_protocol/pool.rs
+++ b/crates/proxy/src/upstream/line_protocol/pool.rs
@@ -51,8 +51,15 @@
     }
 
     /// Updates the address and readiness of an engine. Attempts are sent to an engine only while it is up:
-    /// once it is not, its queued attempts end, and its attempts in flight continue.
-    pub fn update_endpoint(&self, engine: EngineId, address: Option<SocketAddr>, readiness: Readiness) {
+    /// once it is not, its queued attempts end, and its attempts in flight continue. The connections of an
+    /// engine that has another address or `has_restarted` get no further attempts.
+    pub fn update_endpoint(
+        &self,
+        engine: EngineId,
+        address: Option<SocketAddr>,
+        readiness: Readiness,
+        has_restarted: bool,
+    ) {
         let mut engine_pools = lock(&self.engine_pools);
         if readiness == Readiness::Gone {
             // A pool that stayed would use memory, and its connections might be used for a later engine at
@@ -65,8 +72,9 @@
         let Some(address) = address else { return };
         let new_pool = || EnginePool { address, is_accepting: true, connections: Vec::new() };
         let pool = engine_pools.entry(engine).or_insert_with(new_pool);
-        if pool.address != address {
-            // Another engine may serve the old address, so its connections are not used any more.
+        if pool.address != address || has_restarted {
+            // Another engine may serve the old address, and connections to a process that has ended may stay
+            // silent.
             std::mem::replace(pool, new_pool()).retire();
         }
         pool.is_accepting = readiness == Readiness::Up;
--- a/tests/common/proxy/database.rs
+++ b/tests/common/proxy/database.rs
@@ -125,6 +125,13 @@
         silent
     }
 
+    /// Fails unless the proxy closes the connection, long before it closes idle ones.
+    pub fn assert_closed_by_proxy(&mut self) {
+        const MAX_WAIT: Duration = Duration::from_secs(5);
+        self.0.get_ref().set_read_timeout(Some(MAX_WAIT)).unwrap();
+        self.0.read_to_end(&mut Vec::new()).expect("the proxy closes the connection");
+    }
+
     /// Responds to a request with a result of one row.
     pub fn serve(&mut self, id: &str) {
         self.send(id, "HIT", "total=1", "a\tb\tc\n");
--- a/tests/event_races/main.rs
+++ b/tests/event_races/main.rs
@@ -10,6 +10,7 @@
 mod client_leaves;
 mod connections_close;
 mod floods;
+mod identity;
 mod list_changes;
 
 use std::net::SocketAddr;
