--- a/crates/proxy/src/downstream/postgres/session_manager.rs
+++ b/crates/proxy/src/downstream/postgres/session_manager.rs
@@ -1,5 +1,6 @@
 //! Admits, evicts and ends client sessions.
 
+use std::hash::{BuildHasher as _, RandomState};
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
@@ -43,6 +44,8 @@
     /// When a session was last evicted because of its incomplete message.
     message_evicted_at: Mutex<Option<Instant>>,
     next_process_id: AtomicU32,
+    /// Random for each process: a restarted process, or the other one of an upgrade, has the same seed in its
+    /// configuration and numbers its sessions alike.
     cancel_key_seed: u64,
     /// The listening socket; dangling once it is closed.
     listener: Weak<CoIo<TcpListener>>,
@@ -51,12 +54,12 @@
 }
 
 impl SessionManager {
-    /// Creates a manager without sessions, whose requests run in `handler`. `cancel_key_seed` makes cancel
-    /// keys hard to guess. `max_message_length` is the longest message that a client may send, in bytes, and
+    /// Creates a manager without sessions, whose requests run in `handler`. `seed` and the entropy of
+    /// the system make cancel keys hard to guess. `max_message_length` is the longest message that a client may send, in bytes, and
     /// `message_memory` holds the input of all sessions.
     pub fn new(
         handler: Arc<RequestHandler>,
-        cancel_key_seed: u64,
+        seed: u64,
         max_message_length: usize,
         message_memory: Arc<MemoryAccount>,
         listener: &Arc<CoIo<TcpListener>>,
@@ -71,7 +74,7 @@
             eviction_log: LogLimit::default(),
             message_evicted_at: Mutex::default(),
             next_process_id: AtomicU32::new(1),
-            cancel_key_seed,
+            cancel_key_seed: RandomState::new().hash_one(seed),
             listener: Arc::downgrade(listener),
             unread_connections: AtomicUsize::new(0),
         }
--- a/tests/event_races/identity.rs
+++ b/tests/event_races/identity.rs
@@ -1,8 +1,9 @@
 //! A request id that comes again, and a new process at the address of one that has gone.
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
 
-use crate::proxy::{Coordinator, Engine, Proxy, event};
+use crate::proxy::{Coordinator, Engine, Proxy, event, query};
 use crate::{assert_only_next_query_arrives, open_idle_connection};
 
 /// Guards against work for an engine that has gone at the engine which has its address now.
@@ -37,3 +38,23 @@
     stream.write_all(event(3, &[entry]).as_bytes()).unwrap();
     assert_only_next_query_arrives(&proxy, &mut connection);
 }
+
+/// Guards against a cancel for a session of the process before that cancels a query of the restarted one.
+#[test]
+fn a_cancel_key_of_the_process_before_cancels_nothing_after_a_restart() {
+    let engine = Engine::new();
+    let mut proxy = Proxy::start(&[&engine]);
+    let before = proxy.client();
+    proxy.kill();
+    proxy.restart();
+    let mut after = proxy.client();
+    let (mut connection, command) = after.send_to(&engine, &query("lookup", 1, 15_000));
+    let mut cancel = before.cancel();
+    let mut rest = Vec::new();
+    cancel.read_to_end(&mut rest).expect("the cancel request is processed");
+    let until = Instant::now() + Duration::from_millis(200);
+    while Instant::now() < until && connection.is_silent() {}
+    assert!(connection.is_silent(), "the query of another session is cancelled");
+    connection.serve(&command[1]);
+    assert_eq!(after.read_response(), "TDC");
+}
