--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,7 +7,9 @@
 use crate::interface::{
     Action, AttemptNo, ClassSettings, Event, Millis, ProgressReport, RequestId, Settings, SettingsError,
 };
-use crate::policy::{Ranking, RetryBudget, TenantQuotas, TimeoutEstimator, WorkEstimator, may_repeat_until};
+use crate::policy::{
+    Ranking, ReplayGuard, RetryBudget, TenantQuotas, TimeoutEstimator, WorkEstimator, may_repeat_until,
+};
 use crate::requests::{OrderedQueues, Requests};
 use crate::stats::DecayingMean;
 
@@ -31,6 +33,7 @@
     pub(crate) work: WorkEstimator,
     pub(crate) timeouts: TimeoutEstimator,
     pub(crate) retries: RetryBudget,
+    pub(crate) replays: ReplayGuard,
     pub(crate) fleet: Fleet,
     /// When the earliest timer that was asked for is due; infinite if there is none.
     pub(crate) timer_due_at: Millis,
@@ -60,6 +63,7 @@
             work: WorkEstimator::default(),
             timeouts: TimeoutEstimator::default(),
             retries: RetryBudget::default(),
+            replays: ReplayGuard::default(),
             fleet: Fleet::default(),
             timer_due_at: f64::INFINITY,
             reviewed_at: 0.0,
@@ -124,6 +128,11 @@
         self.fleet.engines.values().filter(|engine| engine.is_up()).filter(is_ejected).count()
     }
 
+    /// Whether a request with this id, which is not open any more, may have run and must not run again.
+    pub fn may_have_run(&self, id: &RequestId) -> bool {
+        self.replays.may_have_run(id)
+    }
+
     /// Until when the request's latest attempt may be sent to its engine; infinite for an unknown request.
     pub fn sendable_until(&self, id: &RequestId) -> Millis {
         let Some(request) = self.requests.get(id) else { return f64::INFINITY };
--- a/crates/dispatch/src/policy/lifecycle.rs
+++ b/crates/dispatch/src/policy/lifecycle.rs
@@ -87,6 +87,8 @@
             return;
         }
         attempt.outcome = Some(end.outcome);
+        let idempotency = self.context.settings.class(&request.new).idempotency;
+        self.replays.on_attempt_ended(&end.id, idempotency, end.outcome);
         self.queues.on_attempt_ended(&self.context, &request.new, end.outcome);
         self.learn_from_outcome(end, out);
         let Some(request) = self.requests.get(&end.id) else { return };
--- a/crates/proxy/src/downstream/postgres/error.rs
+++ b/crates/proxy/src/downstream/postgres/error.rs
@@ -143,6 +143,9 @@
     /// A request with the same id is open.
     #[error("a request with this 'rid' is open")]
     Duplicate,
+    /// A request with the same id may have run, and its class must not run twice.
+    #[error("a request with this 'rid' may have run already")]
+    AlreadyRun,
     /// The request failed; its statement may have run.
     #[error("failed: the statement may have run")]
     Failed,
@@ -159,7 +162,7 @@
             QueryError::OutOfMemory => SqlState::OUT_OF_MEMORY,
             QueryError::Cancelled => SqlState::QUERY_CANCELED,
             QueryError::Rejected { .. } => SqlState::INSUFFICIENT_RESOURCES,
-            QueryError::Duplicate => SqlState::DUPLICATE_OBJECT,
+            QueryError::Duplicate | QueryError::AlreadyRun => SqlState::DUPLICATE_OBJECT,
             QueryError::Failed => SqlState::SYSTEM_ERROR,
         }
     }
--- a/crates/proxy/src/downstream/postgres/session/messages.rs
+++ b/crates/proxy/src/downstream/postgres/session/messages.rs
@@ -186,6 +186,7 @@
                 backend::query_error(out, &QueryError::Rejected { retry_after, reason });
             }
             Response::Duplicate => backend::query_error(out, &QueryError::Duplicate),
+            Response::AlreadyRun => backend::query_error(out, &QueryError::AlreadyRun),
             Response::Failed => backend::query_error(out, &QueryError::Failed),
         }
         backend::ready_for_query(out);
--- a/crates/proxy/src/facade/mailbox.rs
+++ b/crates/proxy/src/facade/mailbox.rs
@@ -61,6 +61,8 @@
     Fail,
     /// Respond that another request with this id is open. The request was not accepted.
     Duplicate,
+    /// Respond that a request with this id may have run and must not run again. The request was not accepted.
+    AlreadyRun,
     /// Nothing to do: the request is finished.
     Finished,
 }
--- a/crates/proxy/src/facade/mod.rs
+++ b/crates/proxy/src/facade/mod.rs
@@ -74,6 +74,9 @@
         if state.is_open(&id) {
             return NextStep::Duplicate;
         }
+        if state.may_have_run(&id) {
+            return NextStep::AlreadyRun;
+        }
         state.open(&mut request, mailbox.sender());
         self.dispatch(state, Some(Event::Request(request)));
         self.wait_for_step(&id, mailbox)
--- a/crates/proxy/src/facade/state.rs
+++ b/crates/proxy/src/facade/state.rs
@@ -131,6 +131,11 @@
         self.requests.contains_key(id)
     }
 
+    /// Returns whether a request with this id may have run and must not run again.
+    pub fn may_have_run(&self, id: &RequestId) -> bool {
+        self.dispatcher.may_have_run(id)
+    }
+
     /// Opens a request whose events go to `events`. During a shutdown, its deadline is limited to the latest
     /// one that is allowed.
     pub fn open(&mut self, request: &mut NewRequest, events: Sender<RequestEvent<Upstream>>) {
--- a/crates/proxy/src/query.rs
+++ b/crates/proxy/src/query.rs
@@ -59,6 +59,8 @@
     Failed,
     /// The request was not accepted, because a request with the same id is open.
     Duplicate,
+    /// The request was not accepted, because a request with the same id may have run and must not run again.
+    AlreadyRun,
 }
 
 /// An event of an attempt on the upstream side.
--- a/crates/proxy/src/request_lifecycle.rs
+++ b/crates/proxy/src/request_lifecycle.rs
@@ -79,6 +79,7 @@
             NextStep::Reject(rejection) => return request.respond(Response::Rejected(rejection)),
             NextStep::Fail => return request.respond(Response::Failed),
             NextStep::Duplicate => return request.respond(Response::Duplicate),
+            NextStep::AlreadyRun => return request.respond(Response::AlreadyRun),
             NextStep::Finished => return,
         }
     }
@@ -107,8 +108,8 @@
                 tracing::debug!(id, class, reason = ?rejection.reason, "rejected");
                 self.query.class.record_rejected();
             }
-            Response::Failed | Response::Duplicate => {
-                tracing::debug!(id, class, "failed");
+            Response::Failed | Response::Duplicate | Response::AlreadyRun => {
+                tracing::debug!(id, class, ?response, "failed");
                 self.query.class.record_failed();
             }
         }
--- a/tests/event_races/identity.rs
+++ b/tests/event_races/identity.rs
@@ -4,7 +4,29 @@
 use std::time::{Duration, Instant};
 
 use crate::proxy::{Coordinator, Engine, Proxy, event, query};
-use crate::{assert_only_next_query_arrives, open_idle_connection};
+use crate::{assert_only_next_query_arrives, open_idle_connection, serve};
+
+/// Guards against a second run of a request that must not run twice, after its client has left.
+#[test]
+fn an_id_that_may_have_run_is_not_sent_again_for_another_client() {
+    let engine = Engine::new();
+    let proxy = Proxy::start(&[&engine]);
+    let mut connection = open_idle_connection(&proxy, &engine, 1);
+    let mut first = proxy.client();
+    first.send(&query("load", 7, 15_000));
+    assert_eq!(connection.command()[..2], ["serve", "0000000000000007"]);
+    first.close();
+    assert_eq!(connection.command()[..2], ["cancel", "0000000000000007"]);
+    proxy.attempts_once_idle();
+    assert!(proxy.client().request(&query("load", 7, 15_000)).starts_with("E 42710"));
+    let mut second = proxy.client();
+    second.send(&query("load", 8, 15_000));
+    assert_eq!(connection.command()[..2], ["serve", "0000000000000008"]);
+    serve(&mut connection, 8);
+    assert_eq!(second.read_response(), "TDC");
+    assert!(second.request(&query("load", 8, 15_000)).starts_with("E 42710"));
+    assert_only_next_query_arrives(&proxy, &mut connection);
+}
 
 /// Guards against work for an engine that has gone at the engine which has its address now.
 #[test]
