--- a/tests/compatibility/downstream.rs
+++ b/tests/compatibility/downstream.rs
@@ -136,7 +136,7 @@
         ("empty query", simple_query(" ; ")),
         ("served", simple_query(&query("lookup", 1, 15_000))),
         ("served update", simple_query(&query("load", 2, 15_000).replace("SELECT a FROM", "UPDATE"))),
-        ("served insert", simple_query(&query("load", 2, 15_000).replace("SELECT a FROM", "INSERT INTO"))),
+        ("served insert", simple_query(&query("load", 3, 15_000).replace("SELECT a FROM", "INSERT INTO"))),
         ("no comment", simple_query("SELECT 1")),
         ("open comment", simple_query("/* method=lookup")),
         ("empty comment", simple_query("/* */ SELECT 1")),
