--- a/crates/proxy/src/downstream/postgres/session/input.rs
+++ b/crates/proxy/src/downstream/postgres/session/input.rs
@@ -34,8 +34,14 @@
                 return Ok(SocketInput::OutOfMemory);
             };
             match read_at_most(self.stream.socket(), &mut self.input, max_bytes) {
-                Ok(ReadOutcome::Data) => self.read_at = self.manager.handler.facade.now(),
-                Ok(ReadOutcome::WouldBlock) => return Ok(SocketInput::Drained),
+                Ok(ReadOutcome::Data) => {
+                    let now = self.manager.handler.facade.now();
+                    self.read_at = self.unread_since.unwrap_or(now);
+                }
+                Ok(ReadOutcome::WouldBlock) => {
+                    self.unread_since = None;
+                    return Ok(SocketInput::Drained);
+                }
                 Ok(ReadOutcome::Closed) => {
                     self.client_closed = true;
                     return Ok(SocketInput::Drained);
@@ -94,6 +100,7 @@
     /// Makes another session give way, unless the query of this one runs: then it only notices whether its client
     /// has disconnected.
     fn on_out_of_memory(&mut self) {
+        self.unread_since.get_or_insert(self.manager.handler.facade.now());
         if self.state.is_busy() {
             self.client_closed = peer_closed(self.stream.socket());
         } else {
--- a/crates/proxy/src/downstream/postgres/session/mod.rs
+++ b/crates/proxy/src/downstream/postgres/session/mod.rs
@@ -63,8 +63,11 @@
     result: Option<ResultEncoder>,
     /// Number of reads since the session last waited or paused.
     reads_since_pause: usize,
-    /// When input was last read, on the facade's clock.
+    /// When the input that was read last had arrived at the latest, on the facade's clock.
     read_at: Millis,
+    /// Since when input may wait in the socket because the memory for messages is used up. A request that was
+    /// read since then may have arrived as early as that.
+    unread_since: Option<Millis>,
     /// When the first bytes of the incomplete message arrived, or when the session started if it waits for
     /// the startup message. `None` if no message is incomplete.
     message_started_at: Option<Instant>,
@@ -104,6 +107,7 @@
             result: None,
             reads_since_pause: 0,
             read_at: 0.0,
+            unread_since: None,
             message_started_at: Some(started_at),
             last_progress: started_at,
             encryption_requests: 0,
--- a/crates/proxy/src/memory/relief.rs
+++ b/crates/proxy/src/memory/relief.rs
@@ -6,7 +6,7 @@
 /// Incomplete messages that hold fewer bytes are chosen only if there is no larger one.
 const LARGE_MESSAGE_BYTES: usize = 8 * 1024;
 /// Time without progress after which a client counts as one that does not read its response.
-const SLOW_READER_TIME: Duration = Duration::from_secs(1);
+const SLOW_READER_TIME: Duration = Duration::from_secs(5);
 
 /// What a session holds, as far as the choice depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
