--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,7 +5,8 @@
 
 use crate::engines::{AssignedPosition, Engine, Fleet};
 use crate::interface::{
-    Action, AttemptNo, ClassSettings, Event, Millis, ProgressReport, RequestId, Settings, SettingsError,
+    Action, AttemptNo, ClassId, ClassSettings, Event, Idempotency, Millis, ProgressReport, RequestId,
+    Settings, SettingsError,
 };
 use crate::policy::{
     Ranking, ReplayGuard, RetryBudget, TenantQuotas, TimeoutEstimator, WorkEstimator, may_repeat_until,
@@ -133,6 +134,17 @@
         self.replays.may_have_run(id)
     }
 
+    /// Treats a request with this id as one that may have run, because another process runs it.
+    pub fn remember_id(&mut self, id: &RequestId) {
+        self.replays.remember(id);
+    }
+
+    /// Whether requests of this class must not run twice.
+    pub fn must_run_once(&self, class: ClassId) -> bool {
+        let settings = self.context.settings.classes.get(class.0);
+        settings.is_some_and(|settings| settings.idempotency != Idempotency::Safe)
+    }
+
     /// Until when the request's latest attempt may be sent to its engine; infinite for an unknown request.
     pub fn sendable_until(&self, id: &RequestId) -> Millis {
         let Some(request) = self.requests.get(id) else { return f64::INFINITY };
--- a/crates/dispatch/src/policy/replay.rs
+++ b/crates/dispatch/src/policy/replay.rs
@@ -23,6 +23,11 @@
         if idempotency == Idempotency::Safe || outcome.never_ran() {
             return;
         }
+        self.remember(id);
+    }
+
+    /// Records that a request with this id may have run.
+    pub fn remember(&mut self, id: &RequestId) {
         let hash = hash_of(id);
         if !self.hashes.insert(hash) {
             return;
--- a/crates/proxy/src/downstream/postgres/cancel_registry.rs
+++ b/crates/proxy/src/downstream/postgres/cancel_registry.rs
@@ -153,15 +153,17 @@
         lock(&self.sessions).len()
     }
 
-    /// Cancels the query of the session with this key. Does nothing if there is no such session or it has
-    /// no query, because a cancel request does not apply to queries that arrive later.
-    pub fn cancel(&self, key: CancelKey) {
+    /// Cancels the query of the session with this key. Does nothing if the session has no query, because a cancel
+    /// request does not apply to queries that arrive later. Returns false if there is no such session.
+    pub fn cancel(&self, key: CancelKey) -> bool {
         let has_key = |handle: &&Arc<SessionHandle>| handle.secret_key == key.secret_key;
         let handle = lock(&self.sessions).get(&key.process_id).filter(has_key).cloned();
-        if let Some(handle) = handle.filter(|handle| handle.has_query()) {
+        let Some(handle) = handle else { return false };
+        if handle.has_query() {
             handle.cancel_requested.store(true, Ordering::Relaxed);
             handle.waker.wakeup();
         }
+        true
     }
 
     /// Wakes all sessions.
--- a/crates/proxy/src/downstream/postgres/mod.rs
+++ b/crates/proxy/src/downstream/postgres/mod.rs
@@ -21,5 +21,6 @@
 mod session_end;
 mod session_manager;
 
+pub use frontend::CancelKey;
 pub use session_end::SessionEnd;
 pub use session_manager::SessionManager;
--- a/crates/proxy/src/downstream/postgres/session/messages.rs
+++ b/crates/proxy/src/downstream/postgres/session/messages.rs
@@ -79,7 +79,9 @@
                 backend::encryption_rejected(self.out.buffer());
             }
             StartupMessage::Cancel(key) => {
-                self.manager.registry.cancel(key);
+                if !self.manager.registry.cancel(key) {
+                    self.manager.handler.handover.forward_cancel(key);
+                }
                 self.state.close();
             }
         }
--- a/crates/proxy/src/downstream/postgres/session_manager.rs
+++ b/crates/proxy/src/downstream/postgres/session_manager.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
+use gaugestep_dispatch::interface::RequestId;
 use may::io::CoIo;
 
 use super::backend;
@@ -16,6 +17,7 @@
 use super::session::{Session, initial_status};
 use super::session_counts::SessionCounts;
 use super::session_end::{SessionEnd, SessionEndPolicy, shut_down_output};
+use crate::handover::HandoverPeer;
 use crate::log_limit::LogLimit;
 use crate::memory::MemoryAccount;
 use crate::memory::relief::HeldMemory;
@@ -207,3 +209,13 @@
         CancelKey { process_id, secret_key }
     }
 }
+
+impl HandoverPeer for SessionManager {
+    fn give_up(&self, id: &RequestId) -> bool {
+        self.handler.facade.give_up(id)
+    }
+
+    fn cancel(&self, key: CancelKey) {
+        self.registry.cancel(key);
+    }
+}
--- a/crates/proxy/src/facade/mod.rs
+++ b/crates/proxy/src/facade/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use gaugestep_dispatch::interface::{
-    AttemptEnd, AttemptNo, EngineEntry, FleetPosition, Millis, NewRequest, Outcome, ProgressReport,
+    AttemptEnd, AttemptNo, ClassId, EngineEntry, FleetPosition, Millis, NewRequest, Outcome, ProgressReport,
     RequestId, SettingsError,
 };
 use gaugestep_dispatch::{Event, Settings};
@@ -82,6 +82,20 @@
         self.wait_for_step(&id, mailbox)
     }
 
+    /// Returns whether requests of this class must not run twice.
+    pub fn must_run_once(&self, class: ClassId) -> bool {
+        lock(&self.state).must_run_once(class)
+    }
+
+    /// Leaves a request to another process, unless it is open or may have run here: it is not run here any more.
+    /// Returns whether it is left to the other process.
+    pub fn give_up(&self, id: &RequestId) -> bool {
+        let mut state = lock(&self.state);
+        let may_run_here = state.is_open(id) || state.may_have_run(id);
+        state.remember_id(id);
+        !may_run_here
+    }
+
     /// Reports the end of the attempt in flight and blocks until the request's next step is decided.
     pub fn report(&self, id: &RequestId, report: AttemptReport, mailbox: &Mailbox<Upstream>) -> NextStep {
         let now = self.now();
--- a/crates/proxy/src/facade/state.rs
+++ b/crates/proxy/src/facade/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use gaugestep_dispatch::interface::{
-    AttemptEnd, AttemptNo, EngineId, Millis, NewRequest, Outcome, RequestId, SettingsError,
+    AttemptEnd, AttemptNo, ClassId, EngineId, Millis, NewRequest, Outcome, RequestId, SettingsError,
 };
 use gaugestep_dispatch::{Action, Dispatcher, Event, Settings};
 use may::sync::mpsc::Sender;
@@ -136,6 +136,16 @@
         self.dispatcher.may_have_run(id)
     }
 
+    /// Returns whether requests of this class must not run twice.
+    pub fn must_run_once(&self, class: ClassId) -> bool {
+        self.dispatcher.must_run_once(class)
+    }
+
+    /// Treats a request with this id as one that may have run.
+    pub fn remember_id(&mut self, id: &RequestId) {
+        self.dispatcher.remember_id(id);
+    }
+
     /// Opens a request whose events go to `events`. During a shutdown, its deadline is limited to the latest
     /// one that is allowed.
     pub fn open(&mut self, request: &mut NewRequest, events: Sender<RequestEvent<Upstream>>) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod discovery;
 mod downstream;
 mod facade;
+mod handover;
 mod log_limit;
 mod logging;
 mod memory;
--- a/crates/proxy/src/request_lifecycle.rs
+++ b/crates/proxy/src/request_lifecycle.rs
@@ -8,14 +8,22 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
+use gaugestep_dispatch::interface::{Millis, RejectReason};
+
 use crate::class_registry::{Class, ClassRegistry};
 use crate::config::Names;
-use crate::facade::{AttemptOrder, AttemptReport, Facade, Mailbox, NextStep, RequestEvent, to_duration};
+use crate::facade::{
+    AttemptOrder, AttemptReport, Facade, Mailbox, NextStep, Rejection, RequestEvent, to_duration,
+};
+use crate::handover::{ClaimAnswer, Handover};
 use crate::memory::{MemoryAccount, MemoryCharge};
 use crate::query::{AttemptResult, LifecycleEvent, Query, Response, UpstreamEvent};
 use crate::termination::Termination;
 use crate::upstream::line_protocol::{UpstreamHandle, UpstreamPool};
 
+/// Retry delay of a request that the other process of an upgrade has not answered for, in milliseconds.
+const CLAIM_RETRY_AFTER_MS: Millis = 500.0;
+
 /// State shared by all requests of the proxy.
 pub struct RequestHandler {
     /// The dispatcher, which decides the steps of each request.
@@ -26,6 +34,8 @@
     pub names: Names,
     /// The classes and tenants of the current settings.
     pub classes: ClassRegistry,
+    /// The link to the other process of an upgrade.
+    pub handover: Handover,
     /// The memory for open requests.
     pub request_memory: Arc<MemoryAccount>,
     /// Maximum number of open requests; further ones are rejected.
@@ -72,7 +82,7 @@
 ) {
     let query = Arc::new(query);
     let mut request = ActiveRequest { handler, query: &query, mailbox, send_response: Some(send_response) };
-    let mut next_step = handler.facade.pick(query.request.clone(), mailbox);
+    let mut next_step = first_step(handler, &query, mailbox);
     loop {
         next_step = match next_step {
             NextStep::Send(order) => request.run_attempt(order),
@@ -85,6 +95,23 @@
     }
 }
 
+/// Claims a request that must not run twice, if this process is one of the two of an upgrade, and blocks until its
+/// first step is decided.
+fn first_step(handler: &RequestHandler, query: &Query, mailbox: &Mailbox<UpstreamEvent>) -> NextStep {
+    let request = &query.request;
+    if handler.facade.must_run_once(request.class) {
+        match handler.handover.claim(&request.id) {
+            ClaimAnswer::Granted => {}
+            ClaimAnswer::Denied => return NextStep::AlreadyRun,
+            ClaimAnswer::Unknown => {
+                let reason = RejectReason::Overloaded;
+                return NextStep::Reject(Rejection { retry_after: CLAIM_RETRY_AFTER_MS, reason });
+            }
+        }
+    }
+    handler.facade.pick(request.clone(), mailbox)
+}
+
 /// A request that its coroutine is running.
 struct ActiveRequest<'a, F> {
     handler: &'a RequestHandler,
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -29,6 +29,7 @@
 use crate::discovery::{CoordinatorStream, EndpointList};
 use crate::downstream::postgres::SessionManager;
 use crate::facade::Facade;
+use crate::handover::{Handover, HandoverAddress};
 use crate::logging::SetLogDirectives;
 use crate::memory::trim::TrimPolicy;
 use crate::memory::{MemoryAccount, MemoryPlan, PlanError, allocator};
@@ -126,6 +127,7 @@
         // No request may be served before the last good version is in force, so this precedes the acceptor.
         let subscriber =
             control.map(|control| ConfigSubscriber::start(control, config_applier.clone())).transpose()?;
+        let handover_address = HandoverAddress::of_listener(&listener).map_err(StartError::Register)?;
         let listener = CoIo::new(listener).map_err(|error| StartError::Register(error.into()))?;
         let listener = Arc::new(listener);
         let session_manager = SessionManager::new(
@@ -151,10 +153,23 @@
             memory_bytes: config.limits.memory_bytes,
             response_window_ms: drain::response_window_ms(&config.limits, has_successor),
         };
+        if has_successor {
+            server.start_handover(handover_address)?;
+        }
         server.start_tasks(acceptor)?;
         Ok(server)
     }
 
+    /// Links the process to the other one of an upgrade.
+    fn start_handover(&self, address: HandoverAddress) -> Result<(), StartError> {
+        let (handler, session_manager) = (self.handler.clone(), self.session_manager.clone());
+        task::spawn("handover", move || handler.handover.run(&address, &*session_manager))
+            .map_err(StartError::Coroutine)?;
+        let handler = self.handler.clone();
+        task::spawn("handover sweeper", move || handler.handover.sweep_claims())
+            .map_err(StartError::Coroutine)
+    }
+
     /// Starts the background thread and the background coroutines.
     fn start_tasks(&self, acceptor: Acceptor) -> Result<(), StartError> {
         let handler = self.handler.clone();
@@ -204,6 +219,7 @@
         upstream_pool: Arc::new(UpstreamPool::new(config.limits, resources.upstream_descriptors)),
         names: config.names.clone(),
         classes,
+        handover: Handover::default(),
         open_requests: AtomicUsize::new(0),
         request_memory: MemoryAccount::new(memory_plan.request_bytes, 0),
         max_open_requests: AtomicUsize::new(config.limits.max_open),
--- a/tests/event_races/identity.rs
+++ b/tests/event_races/identity.rs
@@ -1,9 +1,10 @@
 //! A request id that comes again, and a new process at the address of one that has gone.
 
 use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-use crate::proxy::{Coordinator, Engine, Proxy, event, query};
+use crate::proxy::{Coordinator, Engine, Proxy, TIMEOUT, event, query, wait_within};
 use crate::{assert_only_next_query_arrives, open_idle_connection, serve};
 
 /// Guards against a second run of a request that must not run twice, after its client has left.
@@ -28,6 +29,44 @@
     assert_only_next_query_arrives(&proxy, &mut connection);
 }
 
+/// Guards against a second run at the other process of an upgrade, in both directions.
+#[test]
+fn an_id_that_may_have_run_at_one_process_of_an_upgrade_is_not_sent_by_the_other() {
+    let engine = Engine::new();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let old = Proxy::inherit(&listener, &[&engine]);
+    let mut connection = open_idle_connection(&old, &engine, 1);
+    let mut leaving = old.client();
+    let mut staying = old.client();
+    leaving.send(&query("load", 7, 15_000));
+    assert_eq!(connection.command()[..2], ["serve", "0000000000000007"]);
+    let new = Proxy::inherit(&listener, &[&engine]);
+    leaving.close();
+    old.signal("-TERM");
+    wait_within(TIMEOUT, "the old process drains", || old.call("GET", "/ops/readiness").0 != 200);
+    assert!(new.client().request(&query("load", 7, 15_000)).starts_with("E 42710"), "at the new process");
+    let (mut other, command) = new.client().send_to(&engine, &query("load", 8, 15_000));
+    assert_eq!(command[1], format!("{:016x}", 8));
+    assert!(staying.request(&query("load", 8, 15_000)).starts_with("E 42710"), "at the old process");
+    other.send(&command[1], "FAULT", "-", "");
+}
+
+/// Guards against a cancel that is lost because it reaches the process of an upgrade that lacks the session.
+#[test]
+fn a_cancel_that_reaches_the_other_process_of_an_upgrade_cancels_the_query() {
+    let engine = Engine::new();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let old = Proxy::inherit(&listener, &[&engine]);
+    let mut client = old.client();
+    let (mut connection, command) = client.send_to(&engine, &query("load", 1, 15_000));
+    let _new = Proxy::inherit(&listener, &[&engine]);
+    old.signal("-TERM");
+    wait_within(TIMEOUT, "the old process drains", || old.call("GET", "/ops/readiness").0 != 200);
+    let _cancel = client.cancel();
+    assert!(client.read_response().starts_with("E 57014"));
+    assert_eq!(connection.command()[..2], ["cancel", &command[1]]);
+}
+
 /// Guards against work for an engine that has gone at the engine which has its address now.
 #[test]
 fn an_engine_at_the_address_of_a_listed_one_replaces_it() {
