--- a/crates/proxy/src/server/listener.rs
+++ b/crates/proxy/src/server/listener.rs
@@ -11,16 +11,17 @@
 
 use crate::downstream::postgres::SessionManager;
 use crate::log_limit::LogLimit;
+use crate::stream::peer_closed;
 use crate::task;
 
 /// Connections that the kernel queues until they are accepted.
-const BACKLOG: i32 = 1024;
+const BACKLOG: i32 = 4096;
 /// Sessions that may be open above the limit while evicted sessions close.
 const MAX_EXCESS_SESSIONS: usize = 8;
-/// Connections that are accepted before the acceptor pauses, so that their sessions run.
-const ACCEPT_BATCH_SIZE: usize = 16;
-/// How long the acceptor pauses after a batch.
-const ACCEPT_BATCH_PAUSE: Duration = Duration::from_millis(1);
+/// How long connections are accepted before the acceptor pauses, so that their sessions run.
+const ACCEPT_TURN: Duration = Duration::from_millis(1);
+/// How long the acceptor pauses then.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 /// Delay between a failed accept and the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -101,14 +102,16 @@
 
     /// Accepts clients until the acceptor is stopped. Blocks its coroutine.
     pub fn run(self) {
-        let mut accepted = 0;
+        let mut turn_started_at = Instant::now();
         loop {
             match self.listener.inner().accept() {
                 Ok((socket, _)) => {
-                    self.admit(socket);
-                    accepted += 1;
-                    if accepted % ACCEPT_BATCH_SIZE == 0 {
-                        task::sleep(ACCEPT_BATCH_PAUSE);
+                    if !is_abandoned(&socket) {
+                        self.admit(socket);
+                    }
+                    if turn_started_at.elapsed() >= ACCEPT_TURN {
+                        task::sleep(ACCEPT_PAUSE);
+                        turn_started_at = Instant::now();
                     }
                 }
                 // The queue is emptied before a stop takes effect: clients in it get an error response from a
@@ -118,6 +121,7 @@
                         return;
                     }
                     self.listener.wait_io();
+                    turn_started_at = Instant::now();
                 }
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(_) if self.is_stopped() => return,
@@ -157,3 +161,8 @@
         }
     }
 }
+
+/// Whether the client has closed a new connection without having sent anything.
+fn is_abandoned(socket: &TcpStream) -> bool {
+    peer_closed(socket) && !matches!(socket.peek(&mut [0]), Ok(length) if length > 0)
+}
