--- a/crates/coroutine-io/src/lib.rs
+++ b/crates/coroutine-io/src/lib.rs
@@ -2,6 +2,7 @@
 //! coroutine owns each connection, and no call blocks the worker thread.
 
 pub mod listener;
+pub mod pacer;
 pub mod stream;
 pub mod task;
 mod write_buffer;
--- a/crates/proxy/src/downstream/postgres/session/mod.rs
+++ b/crates/proxy/src/downstream/postgres/session/mod.rs
@@ -11,7 +11,7 @@
 
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use gaugestep_dispatch::interface::Millis;
 use may::io::{CoIo, WaitIo as _};
@@ -25,7 +25,6 @@
 use crate::memory::MemoryCharge;
 use crate::request_lifecycle::OpenRequestGuard;
 use crate::stream::{Stream as _, WriteBuffer, discard_input};
-use crate::task;
 
 pub use self::closing::initial_status;
 
@@ -41,12 +40,6 @@
 const ITERATIONS_BEFORE_PAUSE: usize = 8;
 /// Number of reads without a wait after which a session pauses, whatever its iterations.
 const READS_BEFORE_PAUSE: usize = 4;
-/// How long a session pauses then. It sleeps, because a coroutine that yields runs again before any other
-/// socket is read.
-const LOOP_PAUSE: Duration = Duration::from_millis(1);
-/// How long a session pauses that may not read because the memory for messages is used up.
-const MEMORY_PAUSE: Duration = Duration::from_millis(20);
-
 /// A session. Only its own coroutine accesses it; other coroutines use its [`SessionHandle`].
 pub struct Session<'a> {
     manager: &'a Arc<SessionManager>,
@@ -131,13 +124,13 @@
                 self.stream.wait_io();
                 (iterations_since_pause, self.reads_since_pause) = (0, 0);
             } else if socket_input == SocketInput::OutOfMemory {
-                task::sleep(MEMORY_PAUSE);
+                self.manager.pacer.pause();
             } else {
                 iterations_since_pause += 1;
                 let must_pause = iterations_since_pause >= ITERATIONS_BEFORE_PAUSE
                     || self.reads_since_pause >= READS_BEFORE_PAUSE;
                 if must_pause {
-                    task::sleep(LOOP_PAUSE);
+                    self.manager.pacer.pause();
                     (iterations_since_pause, self.reads_since_pause) = (0, 0);
                 }
             }
--- a/crates/proxy/src/downstream/postgres/session_manager.rs
+++ b/crates/proxy/src/downstream/postgres/session_manager.rs
@@ -21,10 +21,13 @@
 use crate::log_limit::LogLimit;
 use crate::memory::MemoryAccount;
 use crate::memory::relief::HeldMemory;
+use crate::pacer::Pacer;
 use crate::request_lifecycle::RequestHandler;
 use crate::stream::{WriteBuffer, discard_input, readable};
 use crate::{lock, task};
 
+/// Interval at which one of the sessions runs that send without a pause.
+const PACER_INTERVAL: Duration = Duration::from_millis(1);
 /// Minimum interval between two evictions of sessions with incomplete messages, in which the evicted one frees
 /// its memory.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(1);
@@ -41,6 +44,8 @@
     pub(super) max_message_length: usize,
     /// The memory for input that is not processed yet.
     pub(super) message_memory: Arc<MemoryAccount>,
+    /// Paces the sessions that need not wait for their sockets.
+    pub(super) pacer: Pacer,
     counts: SessionCounts,
     eviction_log: LogLimit,
     /// When a session was last evicted because of its incomplete message.
@@ -72,6 +77,7 @@
             end_policy: SessionEndPolicy::new(),
             max_message_length,
             message_memory,
+            pacer: Pacer::new(PACER_INTERVAL),
             counts: SessionCounts::default(),
             eviction_log: LogLimit::default(),
             message_evicted_at: Mutex::default(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -28,4 +28,4 @@
 mod upstream;
 
 pub use cli::run;
-pub(crate) use gaugestep_coroutine_io::{lock, stream, task};
+pub(crate) use gaugestep_coroutine_io::{lock, pacer, stream, task};
--- a/crates/proxy/src/upstream/line_protocol/connection.rs
+++ b/crates/proxy/src/upstream/line_protocol/connection.rs
@@ -13,6 +13,7 @@
 
 use super::connection_state::{ClosedConnection, ConnectionState};
 use super::pool::UpstreamPool;
+use crate::pacer::Pacer;
 use crate::stream::{ReadOutcome, Stream, Waker, discard_input, read_into};
 use crate::termination::Termination;
 use crate::{lock, task};
@@ -30,8 +31,6 @@
 /// Number of reads before the coroutine pauses. Without pauses, an engine that never stops sending would
 /// block the other coroutines.
 const READ_BATCH_SIZE: usize = 4;
-/// How long the coroutine pauses after a batch of reads.
-const READ_BATCH_PAUSE: Duration = Duration::from_millis(1);
 
 /// A connection to an engine.
 pub struct Connection {
@@ -78,7 +77,7 @@
         let dial_timeout = Duration::from_millis(pool.limits.dial_timeout_ms);
         let dialed = self.dial(address, dial_timeout);
         let termination = match &dialed {
-            Ok(stream) => ConnectionDriver::new(&self, stream).run(),
+            Ok(stream) => ConnectionDriver::new(&self, stream, &pool.pacer).run(),
             Err(termination) => *termination,
         };
         pool.remove_connection(engine, &self);
@@ -162,6 +161,7 @@
 struct ConnectionDriver<'a> {
     connection: &'a Connection,
     stream: &'a TcpStream,
+    pacer: &'a Pacer,
     /// Received bytes that have not been parsed.
     input: Vec<u8>,
     /// Whether a write has failed. Input that was received before is still read and handled.
@@ -171,8 +171,15 @@
 }
 
 impl<'a> ConnectionDriver<'a> {
-    fn new(connection: &'a Connection, stream: &'a TcpStream) -> Self {
-        ConnectionDriver { connection, stream, input: Vec::new(), write_failed: false, write_deferrals: 0 }
+    fn new(connection: &'a Connection, stream: &'a TcpStream, pacer: &'a Pacer) -> Self {
+        ConnectionDriver {
+            connection,
+            stream,
+            pacer,
+            input: Vec::new(),
+            write_failed: false,
+            write_deferrals: 0,
+        }
     }
 
     /// Reads and writes until the connection ends.
@@ -197,7 +204,7 @@
             self.input = Vec::new();
         }
         if has_more_input {
-            task::sleep(READ_BATCH_PAUSE);
+            self.pacer.pause();
         } else if !self.write_failed {
             self.stream.wait_io();
         }
--- a/crates/proxy/src/upstream/line_protocol/pool.rs
+++ b/crates/proxy/src/upstream/line_protocol/pool.rs
@@ -13,13 +13,19 @@
 use super::handle::UpstreamHandle;
 use crate::config::Limits;
 use crate::facade::AttemptOrder;
+use crate::pacer::Pacer;
 use crate::query::{EventSender, Query};
 use crate::termination::Termination;
 use crate::{lock, task};
 
+/// Interval at which one of the connections is read whose engines send without a pause.
+const PACER_INTERVAL: Duration = Duration::from_millis(1);
+
 /// The connections to all engines.
 pub struct UpstreamPool {
     pub(super) limits: Limits,
+    /// Paces the connections whose engines send without a pause.
+    pub(super) pacer: Pacer,
     /// All open connections, including those to removed engines.
     pub(super) connections: Mutex<Vec<Weak<Connection>>>,
     /// Maximum number of open connections to all engines, one file descriptor each.
@@ -43,6 +49,7 @@
     pub fn new(limits: Limits, max_connections: usize) -> Self {
         UpstreamPool {
             limits,
+            pacer: Pacer::new(PACER_INTERVAL),
             max_connections,
             attempts_sent: Arc::default(),
             engine_pools: Mutex::default(),
