--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -11,7 +11,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 pub use client::{Client, query, read_to_close};
@@ -29,6 +29,15 @@
     }
 }
 
+/// Sets a flag when it is dropped, also by a panic, so that a thread which waits for the flag ends in any case.
+pub struct SetOnDrop<'a>(pub &'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 const SETTINGS: &str = r#"{"areas": ["dc"], "kinds": ["k"], "balancers": 1, "orgs": [{"name": "acme", "quota_per_s": 100}],
  "family_info": {"class_threads": [1, 2], "size_cores": [8], "ram_of_kind_mb": [16384], "tells_cost": true,
  "lanes_count": true}, "limits": {"cancelling": true, "max_attempts": 4, "multiplex": 100, "dial_timeout_ms": 250,
