--- a/crates/proxy/src/discovery/endpoint_list.rs
+++ b/crates/proxy/src/discovery/endpoint_list.rs
@@ -1,6 +1,7 @@
 //! The endpoint list. Its changes are applied to the dispatcher and to the connections to engines.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 
 use gaugestep_dispatch::interface::{CellId, EngineEntry, EngineId, MachineTypeId, Readiness, ZoneId};
@@ -27,6 +28,8 @@
     last_event_index: u64,
     /// The listed endpoints by name. A removed endpoint is deleted, and its engine id is not used again.
     endpoints: HashMap<String, Endpoint>,
+    /// The names of the listed endpoints by their addresses.
+    names_by_address: HashMap<SocketAddr, String>,
     /// Engine id for the next new endpoint.
     next_engine: u32,
 }
@@ -114,7 +117,7 @@
     /// Removes all engines except those of `entries`.
     fn retain_only(&self, entries: &[EngineEntry]) {
         let engines: Vec<EngineId> = entries.iter().map(|entry| entry.engine).collect();
-        lock(&self.state).endpoints.retain(|_, endpoint| engines.contains(&endpoint.engine));
+        lock(&self.state).retain_only(&engines);
         self.handler.upstream_pool.retain_only(&engines);
     }
 
@@ -175,27 +178,43 @@
     /// earlier one, unless only the earlier one is up. Removes a replaced endpoint.
     fn conflict(&mut self, update: &EndpointUpdate) -> Option<AddressConflict> {
         let address = update.address.filter(|_| update.readiness != Readiness::Gone)?;
-        let has_address =
-            |name: &String, endpoint: &Endpoint| name != update.name && endpoint.address == Some(address);
-        let (name, other) = self.endpoints.iter().find(|(name, endpoint)| has_address(name, endpoint))?;
-        if update.readiness == Readiness::Draining && other.readiness == Readiness::Up {
+        let name = self.names_by_address.get(&address).filter(|name| *name != update.name)?.clone();
+        let is_up = self.endpoints.get(&name)?.readiness == Readiness::Up;
+        if update.readiness == Readiness::Draining && is_up {
             return Some(AddressConflict::IsReplaced);
         }
-        let (name, engine) = (name.clone(), other.engine);
-        self.endpoints.remove(&name);
-        Some(AddressConflict::Replaces(engine))
+        self.remove(&name).map(|replaced| AddressConflict::Replaces(replaced.engine))
+    }
+
+    /// Removes an endpoint. Returns `None` if it is not listed.
+    fn remove(&mut self, name: &str) -> Option<Endpoint> {
+        let removed = self.endpoints.remove(name)?;
+        if let Some(address) = removed.address {
+            self.names_by_address.remove(&address);
+        }
+        Some(removed)
+    }
+
+    /// Removes all endpoints except those of `engines`.
+    fn retain_only(&mut self, engines: &[EngineId]) {
+        let engines: HashSet<EngineId> = engines.iter().copied().collect();
+        self.endpoints.retain(|_, endpoint| engines.contains(&endpoint.engine));
+        let endpoints = &self.endpoints;
+        self.names_by_address.retain(|_, name| endpoints.contains_key(name));
     }
 
     /// Adds, changes or deletes an endpoint on the list. Returns `None` if the update removes an endpoint that
     /// is not listed.
     fn store(&mut self, update: &EndpointUpdate) -> Option<StoredUpdate> {
         if update.readiness == Readiness::Gone {
-            let removed = self.endpoints.remove(update.name)?;
+            let removed = self.remove(update.name)?;
             return Some(StoredUpdate { engine: removed.engine, has_restarted: false });
         }
         let listed = self.endpoints.get(update.name);
         let listed_since = listed.and_then(|endpoint| endpoint.up_since);
         let has_restarted = listed.is_some() && update.up_since.is_some_and(|at| Some(at) != listed_since);
+        let listed_address = listed.and_then(|endpoint| endpoint.address);
+        let address = update.address.or(listed_address);
         let engine = match listed {
             Some(endpoint) => endpoint.engine,
             None => {
@@ -209,9 +228,15 @@
             machine_type: update.machine_type.unwrap_or_default().to_owned(),
             cell: update.cell,
             readiness: update.readiness,
-            address: update.address.or_else(|| listed.and_then(|endpoint| endpoint.address)),
+            address,
             up_since: update.up_since.or(listed_since),
         };
+        if let Some(before) = listed_address.filter(|before| Some(*before) != address) {
+            self.names_by_address.remove(&before);
+        }
+        if let Some(address) = address {
+            self.names_by_address.insert(address, update.name.to_owned());
+        }
         self.endpoints.insert(update.name.to_owned(), endpoint);
         Some(StoredUpdate { engine, has_restarted })
     }
