--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -132,7 +132,7 @@
         // No request may be served before the last good version is in force, so this precedes the acceptor.
         let subscriber =
             control.map(|control| ConfigSubscriber::start(control, config_applier.clone())).transpose()?;
-        let handover_address = HandoverAddress::of_listener(&listener).map_err(StartError::Register)?;
+        let handover_address = has_successor.then(|| HandoverAddress::of_listener(&listener));
         let listener = CoIo::new(listener).map_err(|error| StartError::Register(error.into()))?;
         let listener = Arc::new(listener);
         let session_manager = SessionManager::new(
@@ -158,8 +158,10 @@
             memory_bytes: config.limits.memory_bytes,
             response_window_ms: drain::response_window_ms(&config.limits, has_successor),
         };
-        if has_successor {
-            server.start_handover(handover_address)?;
+        match handover_address {
+            Some(Ok(address)) => server.start_handover(address)?,
+            Some(Err(error)) => tracing::warn!("the processes of an upgrade are not linked: {error}"),
+            None => {}
         }
         server.start_tasks(acceptor)?;
         Ok(server)
