--- a/crates/control-plane/src/raft/driver/apply.rs
+++ b/crates/control-plane/src/raft/driver/apply.rs
@@ -9,10 +9,10 @@
 use raft::eraftpb::{ConfChange, ConfChangeType, Entry, EntryType, Snapshot};
 
 use super::{CommittedProposal, RaftDriver};
-use crate::clock;
 use crate::raft::error::ReplicaError;
 use crate::raft::storage::LogPosition;
 use crate::raft::stored_values;
+use crate::{clock, failpoints};
 
 /// The result of an applied entry, and the changes that it made.
 type Applied = (Outcome, Vec<StateChange>);
@@ -93,6 +93,7 @@
         change.set_change_type(kind);
         let membership = self.raw_node.apply_conf_change(&change)?;
         stored_values::put_membership(batch, &membership);
+        batch.sync = true;
         tracing::info!(voters = ?membership.voters, "membership changed");
         let voters = membership.voters.iter().copied().collect();
         self.log.set_membership(membership);
@@ -109,6 +110,8 @@
                 state.group.remove_member(stored.member)
             }
         };
+        drop(state);
+        failpoints::suspend_at("membership applied");
         Ok((Outcome::Applied, changes))
     }
 
--- a/crates/control-plane/src/raft/driver/mod.rs
+++ b/crates/control-plane/src/raft/driver/mod.rs
@@ -86,6 +86,14 @@
         let RecoveredState { store, group, log, .. } = recovered;
         let voters = &log.membership.voters;
         let is_single_voter = *voters == [replica.own_member.number];
+        tracing::info!(
+            member = replica.own_member.number,
+            applied = log.applied_index,
+            committed = log.hard_state.commit,
+            last = log.last_index(),
+            ?voters,
+            "replica recovered"
+        );
         {
             let mut state = replica.lock_state();
             state.group = group;
--- a/crates/control-plane/src/raft/driver/persistence.rs
+++ b/crates/control-plane/src/raft/driver/persistence.rs
@@ -1,9 +1,13 @@
 //! Persists and sends what the library has ready. Messages that depend on persisted state are sent after it
 //! is on disk.
+//!
+//! A committed change of members is on disk before any other member or an operator learns of it. Other
+//! commands are recovered from the log, which the restarted members commit again. But a member that has lost
+//! a removal counts the removed member as a voter, and may need the vote of a process that has ended.
 
 use gaugestep_storage::control_store::WriteBatch;
 use prost::Message as _;
-use raft::eraftpb::{Entry, Message, MessageType};
+use raft::eraftpb::{Entry, EntryType, Message, MessageType};
 use raft::{LightReady, ReadState, Ready};
 
 use super::RaftDriver;
@@ -39,7 +43,9 @@
 
     /// Writes new entries, and applies committed ones, in one batch.
     fn persist(&mut self, ready: &mut Ready) -> Result<(), ReplicaError> {
-        self.send(ready.take_messages());
+        if !contains_membership_change(ready.committed_entries()) {
+            self.send(ready.take_messages());
+        }
         let mut batch = WriteBatch { sync: ready.must_sync(), ..WriteBatch::default() };
         if !ready.snapshot().is_empty() {
             self.install_snapshot(ready.snapshot(), &mut batch)?;
@@ -52,6 +58,7 @@
         let committed = ready.take_committed_entries();
         self.apply(committed, &mut batch)?;
         self.store.write(&batch)?;
+        self.send(ready.take_messages());
         self.record_member_starts(ready.entries());
         if !ready.entries().is_empty() {
             failpoints::suspend_at("stored");
@@ -73,12 +80,12 @@
         if let Some(commit) = light.commit_index() {
             stored_values::put_hard_state(&mut batch, &self.log.set_commit(commit));
         }
-        self.send(light.take_messages());
         let committed = light.take_committed_entries();
         if !committed.is_empty() {
             self.apply(committed, &mut batch)?;
             self.store.write(&batch)?;
         }
+        self.send(light.take_messages());
         Ok(())
     }
 
@@ -118,6 +125,10 @@
     }
 }
 
+fn contains_membership_change(entries: &[Entry]) -> bool {
+    entries.iter().any(|entry| entry.get_entry_type() == EntryType::EntryConfChange)
+}
+
 fn put_entries(batch: &mut WriteBatch, entries: &[Entry]) {
     let Some(first) = entries.first() else { return };
     batch.truncate_log_from = Some(first.index);
--- a/crates/control-plane/src/raft/storage.rs
+++ b/crates/control-plane/src/raft/storage.rs
@@ -43,7 +43,8 @@
 }
 
 impl LogContents {
-    fn last_index(&self) -> u64 {
+    /// The index of the last entry.
+    pub(crate) fn last_index(&self) -> u64 {
         self.compacted.index + self.entries.len() as u64
     }
 
--- a/tests/leadership/main.rs
+++ b/tests/leadership/main.rs
@@ -11,6 +11,7 @@
 mod identity;
 mod membership;
 mod partitions;
+mod removal;
 mod seeded_faults;
 
 use gaugestep_config::schema::{Hello, Plan};
--- /dev/null
+++ b/tests/leadership/removal.rs
@@ -0,0 +1,59 @@
+//! A group of two that goes back to one: the member that stays acts alone, whichever process is killed.
+
+use gaugestep_config::schema::{ListMembers, call, reply};
+use gaugestep_control_plane::cli::admin_client::{AdminClient, Delivery};
+
+use crate::group::{Group, wait_until};
+use crate::single_stage;
+
+/// Waits until the group publishes a version, and checks that only this member is left.
+fn assert_acts_alone(group: &Group, number: u64) {
+    group.publish_until_acknowledged("limits { max_open: 12 }", "after the removal", single_stage());
+    let Ok(reply::What::Members(report)) =
+        group.member(number).call(call::What::Members(ListMembers::default()))
+    else {
+        panic!("member {number} does not list the members");
+    };
+    let listed: Vec<u64> = report.members.iter().map(|member| member.number).collect();
+    assert_eq!((listed, report.voters), (vec![number], vec![number]));
+}
+
+/// Requests a removal once in the background, whatever the outcome.
+fn request_removal(client: AdminClient, number: u64) -> std::thread::JoinHandle<()> {
+    std::thread::spawn(move || {
+        let _ = client.call(&call::What::RemoveMember(number), Delivery::AtMostOnce);
+    })
+}
+
+/// Guards against a removal that is acknowledged before it is on disk: the killed member counted the removed
+/// one as a voter again, and no command worked any more.
+#[test]
+fn an_acknowledged_removal_survives_the_kill_of_the_last_member() {
+    let mut group = Group::start(2);
+    assert_eq!(group.lease_holder().0, 1);
+    group.call_until_accepted(call::What::RemoveMember(2));
+    wait_until("the removed member ends", || group.member_mut(2).has_ended());
+    group.members.pop();
+    group.member_mut(1).kill();
+    group.member_mut(1).start();
+    assert_acts_alone(&group, 1);
+}
+
+/// Guards against a removed member that ends before the one that stays has the removal on disk: the latter
+/// needed a vote that it could not get any more.
+#[test]
+fn a_member_ends_only_once_its_removal_is_on_disk_at_the_member_that_stays() {
+    let mut group = Group::start(2);
+    assert_eq!(group.lease_holder().0, 1);
+    let suspend_file = group.member(1).folder.join("stop");
+    std::fs::write(&suspend_file, "membership applied").unwrap();
+    let request = request_removal(group.admin_client(&[1]), 2);
+    wait_until("the leader has suspended itself with the removal in memory", || !suspend_file.exists());
+    group.member_mut(1).kill();
+    request.join().unwrap();
+    group.member_mut(1).start();
+    group.call_until_accepted(call::What::RemoveMember(2));
+    wait_until("the removed member ends", || group.member_mut(2).has_ended());
+    group.members.pop();
+    assert_acts_alone(&group, 1);
+}
