--- a/crates/proxy/src/config/decode.rs
+++ b/crates/proxy/src/config/decode.rs
@@ -27,6 +27,7 @@
     let name = json["name"].as_str().unwrap_or(DEFAULT_NAME).to_owned();
     let settings = settings(settings_json, &name)?;
     let seed = seed(&json["seed"])?;
+    let longest_deadline_ms = longest_deadline_ms(&settings_json["services"])?;
     let limits = limits(&json["limits"], settings_json)?;
     let initial = &json["known"];
     let initial_event_index = whole_number(initial, "index", 0)?;
@@ -46,6 +47,7 @@
             machine_types: names(settings_json, "kinds"),
         },
         limits,
+        longest_deadline_ms,
     })
 }
 
@@ -75,13 +77,11 @@
 /// Decodes the limits: those of the process from `process`, those of connections and requests from
 /// `settings`.
 fn limits(process: &Value, settings: &Value) -> Result<Limits, DecodeError> {
-    let longest_deadline_ms = longest_deadline_ms(&settings["services"])?;
     let dispatch = &settings["limits"];
     if let Some(max_attempts) = dispatch.get("max_attempts") {
         positive_number("max_attempts", max_attempts)?;
     }
     let limits = Limits {
-        longest_deadline_ms,
         descriptors: whole_number(process, "sockets", 1024)? as usize,
         memory_bytes: whole_number(process, "memory_mb", 192)?.saturating_mul(BYTES_PER_MB) as usize,
         max_attempts_per_connection: (whole_number(dispatch, "multiplex", 100)? as usize).max(1),
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -31,8 +31,6 @@
     pub engine_idle_timeout_ms: u64,
     /// Maximum number of open requests.
     pub max_open: usize,
-    /// The longest deadline of all classes, in milliseconds; infinite if no class has a deadline.
-    pub longest_deadline_ms: f64,
 }
 
 /// The names that requests and endpoints use for items of the settings, in the order of the settings.
@@ -71,6 +69,8 @@
     pub names: Names,
     /// Resource limits and timeouts.
     pub limits: Limits,
+    /// The longest deadline of all classes, in milliseconds; infinite if no class has a deadline.
+    pub longest_deadline_ms: f64,
 }
 
 impl Config {
--- a/crates/proxy/src/config_applier.rs
+++ b/crates/proxy/src/config_applier.rs
@@ -41,6 +41,8 @@
     /// Maximum number of open requests of all clients, as configured; the dispatcher's own limit in
     /// `settings` may be lower.
     pub max_open: usize,
+    /// The longest deadline of all classes, in milliseconds; infinite if no class has a deadline.
+    pub longest_deadline_ms: f64,
 }
 
 impl PlatformConfig {
@@ -54,6 +56,7 @@
             names: config.names.clone(),
             settings,
             max_open: config.limits.max_open,
+            longest_deadline_ms: config.longest_deadline_ms,
         }
     }
 }
@@ -99,6 +102,12 @@
         !lock(&self.document).routes.is_empty()
     }
 
+    /// Returns the longest deadline of all classes in the platform's file, in milliseconds; infinite if no
+    /// class has a deadline.
+    pub fn longest_deadline_ms(&self) -> f64 {
+        lock(&self.platform_config).longest_deadline_ms
+    }
+
     /// Applies a reloaded file of the platform. The caller must hold [`RequestHandler::update_lock`].
     pub fn update_platform(&self, platform_config: PlatformConfig) {
         *lock(&self.platform_config) = platform_config;
--- a/crates/proxy/src/server/drain.rs
+++ b/crates/proxy/src/server/drain.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use super::Server;
-use crate::config::Limits;
 use crate::downstream::postgres::SessionEnd;
 use crate::facade::to_duration;
 use crate::task;
@@ -40,12 +39,6 @@
 /// Interval at which a shutdown checks for open requests and sessions.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Returns the time after SIGTERM by which all accepted requests have their responses, in milliseconds.
-pub fn response_window_ms(limits: &Limits, has_successor: bool) -> f64 {
-    let max_deadline_ms = if has_successor { MAX_UPGRADE_DEADLINE_MS } else { MAX_RESTART_DEADLINE_MS };
-    limits.longest_deadline_ms.min(max_deadline_ms) + RESPONSE_GRACE_MS
-}
-
 /// Identifies one drain: the value of [`DrainState::transitions`] while it lasts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct DrainId(u64);
@@ -141,12 +134,14 @@
     pub fn shut_down(&self) {
         self.drain.start_shutdown();
         let started_at = Instant::now();
-        let response_window = to_duration(self.response_window_ms);
-        self.handler.facade.limit_deadlines(self.handler.facade.now() + self.response_window_ms);
+        let response_window_ms = self.response_window_ms();
+        let response_window = to_duration(response_window_ms);
+        tracing::info!(response_window_ms, "limiting the deadlines of open requests");
+        self.handler.facade.limit_deadlines(self.handler.facade.now() + response_window_ms);
         if self.has_successor {
             self.acceptor.stop();
             self.session_manager.set_session_end(SessionEnd::AfterResponse);
-            let sigkill_after = to_duration(self.response_window_ms + RESPONSES_TO_SIGKILL_MS);
+            let sigkill_after = to_duration(response_window_ms + RESPONSES_TO_SIGKILL_MS);
             let close_idle_at = started_at + sigkill_after.saturating_sub(SESSION_GRACE);
             wait_until(close_idle_at, || self.session_manager.session_count() == 0);
         } else {
@@ -161,6 +156,14 @@
         wait_until(started_at + response_window + CLOSE_GRACE, is_idle);
         std::thread::sleep(FINAL_FLUSH);
     }
+
+    /// Returns the time after SIGTERM by which all accepted requests have their responses, in milliseconds. It
+    /// depends on the configuration in force, as does the time at which the platform sends SIGKILL.
+    fn response_window_ms(&self) -> f64 {
+        let max_deadline_ms =
+            if self.has_successor { MAX_UPGRADE_DEADLINE_MS } else { MAX_RESTART_DEADLINE_MS };
+        self.config_applier.longest_deadline_ms().min(max_deadline_ms) + RESPONSE_GRACE_MS
+    }
 }
 
 /// Blocks the thread until the condition is met or the deadline has passed.
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -92,8 +92,6 @@
     has_successor: bool,
     /// Maximum memory of the process, in bytes.
     memory_bytes: usize,
-    /// Time after SIGTERM by which all accepted requests have their responses, in milliseconds.
-    response_window_ms: f64,
 }
 
 impl Server {
@@ -156,7 +154,6 @@
             drain: DrainState::default(),
             has_successor,
             memory_bytes: config.limits.memory_bytes,
-            response_window_ms: drain::response_window_ms(&config.limits, has_successor),
         };
         match handover_address {
             Some(Ok(address)) => server.start_handover(address)?,
--- a/crates/proxy/tests/unit/resource_limits.rs
+++ b/crates/proxy/tests/unit/resource_limits.rs
@@ -11,7 +11,6 @@
         dial_timeout_ms: 250,
         engine_idle_timeout_ms: 30_000,
         max_open: 1000,
-        longest_deadline_ms: 4_000.0,
     }
 }
 
