--- a/crates/proxy/src/config/decode.rs
+++ b/crates/proxy/src/config/decode.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use super::error::DecodeError;
-use super::{Config, Limits, MIN_DESCRIPTORS, Names};
+use super::{Config, ConnectionSettings, Limits, MIN_DESCRIPTORS, Names};
 
 /// The proxy's name if the configuration has none.
 const DEFAULT_NAME: &str = "gaugestep";
@@ -28,7 +28,11 @@
     let settings = settings(settings_json, &name)?;
     let seed = seed(&json["seed"])?;
     let longest_deadline_ms = longest_deadline_ms(&settings_json["services"])?;
-    let limits = limits(&json["limits"], settings_json)?;
+    let limits = limits(&json["limits"])?;
+    let request_limits = &settings_json["limits"];
+    if let Some(max_attempts) = request_limits.get("max_attempts") {
+        positive_number("max_attempts", max_attempts)?;
+    }
     let initial = &json["known"];
     let initial_event_index = whole_number(initial, "index", 0)?;
     Ok(Config {
@@ -47,6 +51,8 @@
             machine_types: names(settings_json, "kinds"),
         },
         limits,
+        connections: connections(request_limits)?,
+        max_open: whole_number(request_limits, "max_open", 20_000)? as usize,
         longest_deadline_ms,
     })
 }
@@ -74,20 +80,11 @@
     }
 }
 
-/// Decodes the limits: those of the process from `process`, those of connections and requests from
-/// `settings`.
-fn limits(process: &Value, settings: &Value) -> Result<Limits, DecodeError> {
-    let dispatch = &settings["limits"];
-    if let Some(max_attempts) = dispatch.get("max_attempts") {
-        positive_number("max_attempts", max_attempts)?;
-    }
+/// Decodes the limits of the process.
+fn limits(json: &Value) -> Result<Limits, DecodeError> {
     let limits = Limits {
-        descriptors: whole_number(process, "sockets", 1024)? as usize,
-        memory_bytes: whole_number(process, "memory_mb", 192)?.saturating_mul(BYTES_PER_MB) as usize,
-        max_attempts_per_connection: (whole_number(dispatch, "multiplex", 100)? as usize).max(1),
-        dial_timeout_ms: whole_number(dispatch, "dial_timeout_ms", 250)?.max(1),
-        engine_idle_timeout_ms: whole_number(dispatch, "conn_idle_ms", 30_000)?,
-        max_open: whole_number(dispatch, "max_open", 20_000)? as usize,
+        descriptors: whole_number(json, "sockets", 1024)? as usize,
+        memory_bytes: whole_number(json, "memory_mb", 192)?.saturating_mul(BYTES_PER_MB) as usize,
     };
     if limits.descriptors < MIN_DESCRIPTORS {
         return Err(DecodeError::TooFewDescriptors);
@@ -95,6 +92,15 @@
     Ok(limits)
 }
 
+/// Decodes the settings of the connections to engines from the limits in the settings.
+fn connections(json: &Value) -> Result<ConnectionSettings, DecodeError> {
+    Ok(ConnectionSettings {
+        max_attempts_per_connection: (whole_number(json, "multiplex", 100)? as usize).max(1),
+        dial_timeout_ms: whole_number(json, "dial_timeout_ms", 250)?.max(1),
+        engine_idle_timeout_ms: whole_number(json, "conn_idle_ms", 30_000)?,
+    })
+}
+
 /// Returns the longest deadline of all classes, in milliseconds; infinite if no class has a deadline. Fails
 /// if a class has no name or an invalid deadline.
 fn longest_deadline_ms(classes: &Value) -> Result<f64, DecodeError> {
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -16,21 +16,24 @@
 /// Minimum number of descriptors that the proxy needs.
 const MIN_DESCRIPTORS: usize = 64;
 
-/// Resource limits and timeouts of the proxy.
+/// Resource limits of the process, which stay as they were at its start.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Maximum number of descriptors that the process may open.
     pub descriptors: usize,
     /// Maximum memory that the process may use, in bytes.
     pub memory_bytes: usize,
+}
+
+/// Settings of the connections to engines.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionSettings {
     /// Maximum number of concurrent attempts on one connection to an engine.
     pub max_attempts_per_connection: usize,
     /// Timeout for connecting to an engine, in milliseconds.
     pub dial_timeout_ms: u64,
     /// Time after which engines close idle connections, in milliseconds.
     pub engine_idle_timeout_ms: u64,
-    /// Maximum number of open requests.
-    pub max_open: usize,
 }
 
 /// The names that requests and endpoints use for items of the settings, in the order of the settings.
@@ -67,8 +70,12 @@
     pub settings: Settings,
     /// The names of classes, tenants, zones and machine types in the settings.
     pub names: Names,
-    /// Resource limits and timeouts.
+    /// Resource limits of the process.
     pub limits: Limits,
+    /// Settings of the connections to engines.
+    pub connections: ConnectionSettings,
+    /// Maximum number of open requests.
+    pub max_open: usize,
     /// The longest deadline of all classes, in milliseconds; infinite if no class has a deadline.
     pub longest_deadline_ms: f64,
 }
--- a/crates/proxy/src/config_applier.rs
+++ b/crates/proxy/src/config_applier.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::class_registry::Class;
-use crate::config::{Config, Names};
+use crate::config::{Config, Limits, Names};
 use crate::discovery::{Endpoint, EndpointList};
 use crate::lock;
 use crate::logging::{self, SetLogDirectives};
@@ -47,18 +47,24 @@
 
 impl PlatformConfig {
     /// Extracts the parts from a configuration. The dispatcher's limit of open requests is lowered to what
-    /// the descriptors for clients allow.
-    pub fn new(config: &Config) -> Self {
+    /// the descriptors of the process allow, whose limits are those of its start.
+    pub fn new(config: &Config, limits: &Limits) -> Self {
         let mut settings = config.settings.clone();
-        settings.max_open = max_open_requests(settings.max_open, &config.limits);
+        settings.max_open = max_open_requests(settings.max_open, limits);
         PlatformConfig {
             proxy_name: config.name.clone(),
             names: config.names.clone(),
             settings,
-            max_open: config.limits.max_open,
+            max_open: config.max_open,
             longest_deadline_ms: config.longest_deadline_ms,
         }
     }
+
+    /// Returns the factor by which pauses of this proxy are multiplied, so that the proxies of a fleet do not
+    /// act at the same time.
+    pub fn stagger_factor(&self) -> f64 {
+        self.settings.fleet_position.rotation_slot().stagger_factor()
+    }
 }
 
 /// Applies the platform's file and the operators' document to the proxy whenever one of them changes.
--- a/crates/proxy/src/discovery/coordinator_stream.rs
+++ b/crates/proxy/src/discovery/coordinator_stream.rs
@@ -50,13 +50,14 @@
     address: Option<SocketAddr>,
     /// The current connection, which another coroutine may shut down; `None` while there is no connection.
     socket: Option<std::net::TcpStream>,
+    /// Pause between two connection attempts, which differs between proxies.
+    reconnect_pause: Duration,
 }
 
 /// Receives the coordinator's events and applies them to the endpoint list.
 pub struct CoordinatorStream {
     list: Arc<EndpointList>,
     link: Mutex<CoordinatorLink>,
-    reconnect_pause: Duration,
     /// Maximum length of an event, and of a part of the response that cannot be decoded yet, in bytes.
     max_event_length: usize,
 }
@@ -72,15 +73,16 @@
         stagger_factor: f64,
         max_event_length: usize,
     ) -> Self {
-        let link = Mutex::new(CoordinatorLink { address, socket: None });
         let reconnect_pause = RECONNECT_PAUSE.mul_f64(stagger_factor);
-        CoordinatorStream { list, link, reconnect_pause, max_event_length }
+        let link = Mutex::new(CoordinatorLink { address, socket: None, reconnect_pause });
+        CoordinatorStream { list, link, max_event_length }
     }
 
-    /// Changes the coordinator's address. The connection to the previous address is shut down, which wakes
-    /// the coroutine that reads from it.
-    pub fn set_address(&self, address: Option<SocketAddr>) {
+    /// Changes the coordinator's address and the factor of the pause between connection attempts. The
+    /// connection to another address is shut down, which wakes the coroutine that reads from it.
+    pub fn reconfigure(&self, address: Option<SocketAddr>, stagger_factor: f64) {
         let mut link = lock(&self.link);
+        link.reconnect_pause = RECONNECT_PAUSE.mul_f64(stagger_factor);
         if link.address != address {
             link.address = address;
             if let Some(socket) = link.socket.take() {
@@ -103,9 +105,10 @@
             let mut link = lock(&self.link);
             link.socket = None;
             let has_moved = link.address != address;
+            let reconnect_pause = link.reconnect_pause;
             drop(link);
             if !has_moved {
-                task::sleep(self.reconnect_pause);
+                task::sleep(reconnect_pause);
             }
         }
     }
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -24,7 +24,7 @@
 pub use self::resource_limits::{ResourceLimits, max_open_requests, preallocate_descriptor_table};
 use self::status::ReloadCounts;
 use crate::class_registry::ClassRegistry;
-use crate::config::Config;
+use crate::config::{Config, Limits};
 use crate::config_applier::{ConfigApplier, PlatformConfig};
 use crate::discovery::{CoordinatorStream, EndpointList};
 use crate::downstream::postgres::SessionManager;
@@ -90,8 +90,8 @@
     drain: DrainState,
     /// Whether the listening socket belongs to the platform, so that a successor accepts from it too.
     has_successor: bool,
-    /// Maximum memory of the process, in bytes.
-    memory_bytes: usize,
+    /// Resource limits of the process.
+    limits: Limits,
 }
 
 impl Server {
@@ -114,8 +114,8 @@
             .map_err(|source| StartError::Listen { address: config.listen_address, source })?;
         let resources = ResourceLimits::new(&config.limits, has_successor);
         let memory_plan = resources.memory_plan(&config.limits)?;
-        let platform = PlatformConfig::new(&config);
-        let stagger_factor = platform.settings.fleet_position.rotation_slot().stagger_factor();
+        let platform = PlatformConfig::new(&config, &config.limits);
+        let stagger_factor = platform.stagger_factor();
         let handler = request_handler(&config, &platform, resources, memory_plan)?;
         let endpoint_list = Arc::new(EndpointList::new(handler.clone()));
         endpoint_list.apply_configured_events(config.initial_event_index, &config.initial_events);
@@ -153,7 +153,7 @@
             acceptor: acceptor.handle(),
             drain: DrainState::default(),
             has_successor,
-            memory_bytes: config.limits.memory_bytes,
+            limits: config.limits,
         };
         match handover_address {
             Some(Ok(address)) => server.start_handover(address)?,
@@ -198,13 +198,15 @@
     /// Everything else is fixed at the start. Sessions continue, and open requests keep the settings of their
     /// class under which they were accepted.
     pub fn reconfigure(&self, config: Config) {
-        let platform = PlatformConfig::new(&config);
+        let platform = PlatformConfig::new(&config, &self.limits);
+        let stagger_factor = platform.stagger_factor();
+        self.handler.upstream_pool.update_settings(config.connections);
         {
             let _update = lock(&self.handler.update_lock);
             self.config_applier.update_platform(platform);
         }
         self.endpoint_list.apply_configured_events(config.initial_event_index, &config.initial_events);
-        self.coordinator.set_address(config.coordinator_address);
+        self.coordinator.reconfigure(config.coordinator_address, stagger_factor);
     }
 }
 
@@ -220,13 +222,13 @@
     classes.update(&config.names, platform.settings.clone(), |_, _| {});
     Ok(Arc::new(RequestHandler {
         facade,
-        upstream_pool: Arc::new(UpstreamPool::new(config.limits, resources.upstream_descriptors)),
+        upstream_pool: Arc::new(UpstreamPool::new(config.connections, resources.upstream_descriptors)),
         names: config.names.clone(),
         classes,
         handover: Handover::default(),
         open_requests: AtomicUsize::new(0),
         request_memory: MemoryAccount::new(memory_plan.request_bytes, 0),
-        max_open_requests: AtomicUsize::new(config.limits.max_open),
+        max_open_requests: AtomicUsize::new(config.max_open),
         update_lock: Mutex::new(()),
     }))
 }
--- a/crates/proxy/src/server/status.rs
+++ b/crates/proxy/src/server/status.rs
@@ -53,7 +53,7 @@
             serde_json::json!({"limit": limit, "used": used, "peak": peak, "failed_charges": failed_charges})
         };
         serde_json::json!({
-            "limit": self.memory_bytes,
+            "limit": self.limits.memory_bytes,
             "messages": account(self.session_manager.message_memory()),
             "requests": account(&self.handler.request_memory),
             "sessions": self.session_manager.counts_json(),
--- a/crates/proxy/src/upstream/line_protocol/connection.rs
+++ b/crates/proxy/src/upstream/line_protocol/connection.rs
@@ -74,7 +74,7 @@
 
     /// Establishes the connection and runs it until it ends; blocks its coroutine.
     pub fn run(self: Arc<Self>, pool: &Arc<UpstreamPool>, engine: EngineId, address: SocketAddr) {
-        let dial_timeout = Duration::from_millis(pool.limits.dial_timeout_ms);
+        let dial_timeout = Duration::from_millis(pool.settings().dial_timeout_ms);
         let dialed = self.dial(address, dial_timeout);
         let termination = match &dialed {
             Ok(stream) => ConnectionDriver::new(&self, stream, &pool.pacer).run(),
--- a/crates/proxy/src/upstream/line_protocol/pool.rs
+++ b/crates/proxy/src/upstream/line_protocol/pool.rs
@@ -11,7 +11,7 @@
 use super::attempt::{ActiveAttempt, QueuedAttempt};
 use super::connection::Connection;
 use super::handle::UpstreamHandle;
-use crate::config::Limits;
+use crate::config::ConnectionSettings;
 use crate::facade::AttemptOrder;
 use crate::pacer::Pacer;
 use crate::query::{EventSender, Query};
@@ -23,7 +23,7 @@
 
 /// The connections to all engines.
 pub struct UpstreamPool {
-    pub(super) limits: Limits,
+    settings: Mutex<ConnectionSettings>,
     /// Paces the connections whose engines send without a pause.
     pub(super) pacer: Pacer,
     /// All open connections, including those to removed engines.
@@ -46,9 +46,9 @@
 impl UpstreamPool {
     /// A pool without connections that opens at most `max_connections`, each of which uses one file
     /// descriptor.
-    pub fn new(limits: Limits, max_connections: usize) -> Self {
+    pub fn new(settings: ConnectionSettings, max_connections: usize) -> Self {
         UpstreamPool {
-            limits,
+            settings: Mutex::new(settings),
             pacer: Pacer::new(PACER_INTERVAL),
             max_connections,
             attempts_sent: Arc::default(),
@@ -57,6 +57,16 @@
         }
     }
 
+    /// Returns the current settings of the connections.
+    pub(super) fn settings(&self) -> ConnectionSettings {
+        *lock(&self.settings)
+    }
+
+    /// Changes the settings of the connections. A connection that is being established keeps its timeout.
+    pub fn update_settings(&self, settings: ConnectionSettings) {
+        *lock(&self.settings) = settings;
+    }
+
     /// Updates the address and readiness of an engine. Attempts are sent to an engine only while it is up:
     /// once it is not, its queued attempts end, and its attempts in flight continue. The connections of an
     /// engine that has another address or `has_restarted` get no further attempts.
@@ -162,7 +172,7 @@
         match pool.least_loaded() {
             Some((connection, 0)) => return Some(connection.clone()),
             Some((connection, attempt_count))
-                if is_full && attempt_count < self.limits.max_attempts_per_connection =>
+                if is_full && attempt_count < self.settings().max_attempts_per_connection =>
             {
                 return Some(connection.clone());
             }
--- a/crates/proxy/src/upstream/line_protocol/sweeper.rs
+++ b/crates/proxy/src/upstream/line_protocol/sweeper.rs
@@ -12,11 +12,11 @@
 impl UpstreamPool {
     /// Has silent connections checked and idle ones closed; blocks its coroutine and never returns.
     pub fn run_sweeper(&self) {
-        // Engines close connections after `engine_idle_timeout_ms` without traffic. The proxy closes them
-        // earlier, so that no attempt is sent on a connection that its engine is closing.
-        let idle_timeout = Duration::from_millis(self.limits.engine_idle_timeout_ms * 2 / 3);
         loop {
             task::sleep(SWEEP_INTERVAL);
+            // Engines close connections after `engine_idle_timeout_ms` without traffic. The proxy closes them
+            // earlier, so that no attempt is sent on a connection that its engine is closing.
+            let idle_timeout = Duration::from_millis(self.settings().engine_idle_timeout_ms * 2 / 3);
             let mut connections = lock(&self.connections);
             connections.retain(|connection| connection.strong_count() > 0);
             for connection in connections.iter().filter_map(Weak::upgrade) {
--- a/crates/proxy/tests/unit/memory_plan.rs
+++ b/crates/proxy/tests/unit/memory_plan.rs
@@ -4,14 +4,7 @@
 use crate::config::Limits;
 
 fn limits(memory_mb: usize) -> Limits {
-    Limits {
-        descriptors: 1024,
-        memory_bytes: memory_mb * MB,
-        max_attempts_per_connection: 100,
-        dial_timeout_ms: 250,
-        engine_idle_timeout_ms: 30_000,
-        max_open: 1000,
-    }
+    Limits { descriptors: 1024, memory_bytes: memory_mb * MB }
 }
 
 #[test]
--- a/crates/proxy/tests/unit/resource_limits.rs
+++ b/crates/proxy/tests/unit/resource_limits.rs
@@ -4,14 +4,7 @@
 use crate::config::Limits;
 
 fn limits(descriptors: usize, memory_mb: usize) -> Limits {
-    Limits {
-        descriptors,
-        memory_bytes: memory_mb * 1024 * 1024,
-        max_attempts_per_connection: 100,
-        dial_timeout_ms: 250,
-        engine_idle_timeout_ms: 30_000,
-        max_open: 1000,
-    }
+    Limits { descriptors, memory_bytes: memory_mb * 1024 * 1024 }
 }
 
 #[test]
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -4,7 +4,7 @@
 #[path = "common/proxy.rs"]
 mod proxy;
 
-use proxy::{Engine, Launch, Proxy, query};
+use proxy::{Client, Engine, Launch, Proxy, TIMEOUT, query, wait_within};
 
 /// The deadline of both classes in the configuration of the tests.
 const LONG_DEADLINE: &str = r#""deadline_ms": 4000"#;
@@ -48,3 +48,33 @@
         assert_eq!(response_window_ms(reloaded, &engine, &reloaded_log), expected, "{from} to {to}");
     }
 }
+
+/// Guards against timeouts of connections that stay those of the start: engines closed idle connections before the
+/// proxy did.
+#[test]
+fn connections_to_engines_follow_the_reloaded_settings() {
+    let engine = Engine::new();
+    let proxy = Proxy::start(&[&engine]);
+    let mut client = proxy.client();
+    let (mut connection, serve) = client.send_to(&engine, &query("lookup", 1, 15_000));
+    connection.serve(&serve[1]);
+    assert_eq!(client.read_response(), "TDC");
+    proxy.reload_with(r#""conn_idle_ms": 30000"#, r#""conn_idle_ms": 300"#, "/sighup_applied");
+    connection.assert_closed_by_proxy();
+}
+
+/// Guards against a limit of open requests that follows the descriptors in the reloaded file, although the process
+/// keeps those of its start.
+#[test]
+fn the_limits_of_the_process_stay_as_they_were_at_the_start() {
+    // With 256 descriptors 76 requests may be open, and with 64 descriptors 18.
+    const REQUESTS: u64 = 25;
+    // Without engines all requests wait.
+    let proxy = Proxy::start(&[]);
+    proxy.reload_with(r#""sockets":256"#, r#""sockets":64"#, "/sighup_applied");
+    let mut clients: Vec<Client> = (0..REQUESTS).map(|_| proxy.client()).collect();
+    for (id, client) in (0..).zip(&mut clients) {
+        client.send(&query("lookup", id, 15_000));
+        wait_within(TIMEOUT, "one more request is open", || proxy.statistic("/outstanding") == Some(id + 1));
+    }
+}
