--- a/crates/dispatch/src/interface/settings.rs
+++ b/crates/dispatch/src/interface/settings.rs
@@ -84,6 +84,11 @@
     pub memory_mb: f64,
 }
 
+impl MachineTypeSettings {
+    /// The settings of a machine type that the settings of the dispatcher do not contain.
+    pub const UNKNOWN: MachineTypeSettings = MachineTypeSettings { cores: 1.0, memory_mb: 0.0 };
+}
+
 /// The settings of one tenant.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TenantSettings {
@@ -180,8 +185,7 @@
 
     /// The machine type of an engine; for a type without settings, one core and unknown memory.
     pub fn machine_type(&self, entry: &EngineEntry) -> MachineTypeSettings {
-        let unknown = MachineTypeSettings { cores: 1.0, memory_mb: 0.0 };
-        self.machine_types.get(entry.machine_type.0).copied().unwrap_or(unknown)
+        self.machine_types.get(entry.machine_type.0).copied().unwrap_or(MachineTypeSettings::UNKNOWN)
     }
 
     /// The order key of a request. None if it has none or its class is not ordered.
--- a/crates/proxy/src/config_applier.rs
+++ b/crates/proxy/src/config_applier.rs
@@ -22,6 +22,7 @@
 use crate::class_registry::Class;
 use crate::config::{Config, Limits, Names};
 use crate::discovery::{Endpoint, EndpointList};
+use crate::location_ids::LocationIds;
 use crate::lock;
 use crate::logging::{self, SetLogDirectives};
 use crate::request_lifecycle::RequestHandler;
@@ -36,7 +37,7 @@
     pub proxy_name: String,
     /// The names of classes and tenants in the settings.
     pub names: Names,
-    /// The dispatcher's settings.
+    /// The dispatcher's settings, in which zones and machine types are those of [`LocationIds`].
     pub settings: Settings,
     /// Maximum number of open requests of all clients, as configured; the dispatcher's own limit in
     /// `settings` may be lower.
@@ -48,8 +49,9 @@
 impl PlatformConfig {
     /// Extracts the parts from a configuration. The dispatcher's limit of open requests is lowered to what
     /// the descriptors of the process allow, whose limits are those of its start.
-    pub fn new(config: &Config, limits: &Limits) -> Self {
+    pub fn new(config: &Config, limits: &Limits, location_ids: &LocationIds) -> Self {
         let mut settings = config.settings.clone();
+        location_ids.translate(&mut settings, &config.names);
         settings.max_open = max_open_requests(settings.max_open, limits);
         PlatformConfig {
             proxy_name: config.name.clone(),
--- a/crates/proxy/src/discovery/endpoint_list.rs
+++ b/crates/proxy/src/discovery/endpoint_list.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 
-use gaugestep_dispatch::interface::{CellId, EngineEntry, EngineId, MachineTypeId, Readiness, ZoneId};
+use gaugestep_dispatch::interface::{CellId, EngineEntry, EngineId, Readiness};
 use serde_json::Value;
 
 use super::endpoint::{Endpoint, EndpointUpdate};
@@ -143,13 +143,11 @@
         let EndpointUpdate { name, address, readiness, .. } = update;
         self.handler.upstream_pool.update_endpoint(engine, address, readiness, has_restarted);
         tracing::info!(name, ?readiness, engine = engine.0, ?address, has_restarted, "endpoint updated");
-        let names = &self.handler.names;
+        let location_ids = &self.handler.location_ids;
         entries.push(EngineEntry {
             engine,
-            zone: ZoneId(name_index(&names.zones, update.zone).unwrap_or(0)),
-            machine_type: MachineTypeId(
-                name_index(&names.machine_types, update.machine_type).unwrap_or(usize::MAX),
-            ),
+            zone: location_ids.zone(update.zone),
+            machine_type: location_ids.machine_type(update.machine_type),
             cell: CellId(update.cell),
             readiness,
             started_at: update.up_since.map(|at| self.handler.facade.unix_to_clock(at)),
@@ -241,8 +239,3 @@
         Some(StoredUpdate { engine, has_restarted })
     }
 }
-
-/// Returns the index of `name` in `names`; `None` if it is absent.
-fn name_index(names: &[String], name: Option<&str>) -> Option<usize> {
-    names.iter().position(|other| Some(other.as_str()) == name)
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod downstream;
 mod facade;
 mod handover;
+mod location_ids;
 mod log_limit;
 mod logging;
 mod memory;
--- a/crates/proxy/src/request_lifecycle.rs
+++ b/crates/proxy/src/request_lifecycle.rs
@@ -11,11 +11,11 @@
 use gaugestep_dispatch::interface::{Millis, RejectReason};
 
 use crate::class_registry::{Class, ClassRegistry};
-use crate::config::Names;
 use crate::facade::{
     AttemptOrder, AttemptReport, Facade, Mailbox, NextStep, Rejection, RequestEvent, to_duration,
 };
 use crate::handover::{ClaimAnswer, Handover};
+use crate::location_ids::LocationIds;
 use crate::memory::{MemoryAccount, MemoryCharge};
 use crate::query::{AttemptResult, LifecycleEvent, Query, Response, UpstreamEvent};
 use crate::termination::Termination;
@@ -30,8 +30,8 @@
     pub facade: Facade<UpstreamEvent>,
     /// The connections to engines.
     pub upstream_pool: Arc<UpstreamPool>,
-    /// The names of zones and machine types in the configuration, as of the start of the proxy.
-    pub names: Names,
+    /// The ids of zones and machine types.
+    pub location_ids: Arc<LocationIds>,
     /// The classes and tenants of the current settings.
     pub classes: ClassRegistry,
     /// The link to the other process of an upgrade.
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -30,6 +30,7 @@
 use crate::downstream::postgres::SessionManager;
 use crate::facade::Facade;
 use crate::handover::{Handover, HandoverAddress};
+use crate::location_ids::LocationIds;
 use crate::logging::SetLogDirectives;
 use crate::memory::plan::max_event_length;
 use crate::memory::trim::TrimPolicy;
@@ -114,9 +115,10 @@
             .map_err(|source| StartError::Listen { address: config.listen_address, source })?;
         let resources = ResourceLimits::new(&config.limits, has_successor);
         let memory_plan = resources.memory_plan(&config.limits)?;
-        let platform = PlatformConfig::new(&config, &config.limits);
+        let location_ids = Arc::new(LocationIds::default());
+        let platform = PlatformConfig::new(&config, &config.limits, &location_ids);
         let stagger_factor = platform.stagger_factor();
-        let handler = request_handler(&config, &platform, resources, memory_plan)?;
+        let handler = request_handler(&config, &platform, location_ids, resources, memory_plan)?;
         let endpoint_list = Arc::new(EndpointList::new(handler.clone()));
         endpoint_list.apply_configured_events(config.initial_event_index, &config.initial_events);
         let coordinator = CoordinatorStream::new(
@@ -198,7 +200,7 @@
     /// Everything else is fixed at the start. Sessions continue, and open requests keep the settings of their
     /// class under which they were accepted.
     pub fn reconfigure(&self, config: Config) {
-        let platform = PlatformConfig::new(&config, &self.limits);
+        let platform = PlatformConfig::new(&config, &self.limits, &self.handler.location_ids);
         let stagger_factor = platform.stagger_factor();
         self.handler.upstream_pool.update_settings(config.connections);
         {
@@ -214,6 +216,7 @@
 fn request_handler(
     config: &Config,
     platform: &PlatformConfig,
+    location_ids: Arc<LocationIds>,
     resources: ResourceLimits,
     memory_plan: MemoryPlan,
 ) -> Result<Arc<RequestHandler>, SettingsError> {
@@ -223,7 +226,7 @@
     Ok(Arc::new(RequestHandler {
         facade,
         upstream_pool: Arc::new(UpstreamPool::new(config.connections, resources.upstream_descriptors)),
-        names: config.names.clone(),
+        location_ids,
         classes,
         handover: Handover::default(),
         open_requests: AtomicUsize::new(0),
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -4,7 +4,14 @@
 #[path = "common/proxy.rs"]
 mod proxy;
 
-use proxy::{Client, Engine, Launch, Proxy, TIMEOUT, query, wait_within};
+use std::collections::BTreeSet;
+use std::io::BufReader;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+
+use proxy::{
+    Client, Coordinator, Engine, EngineConnection, Launch, Proxy, TIMEOUT, event, query, wait_within,
+};
 
 /// The deadline of both classes in the configuration of the tests.
 const LONG_DEADLINE: &str = r#""deadline_ms": 4000"#;
@@ -78,3 +85,71 @@
         wait_within(TIMEOUT, "one more request is open", || proxy.statistic("/outstanding") == Some(id + 1));
     }
 }
+
+/// An engine that records the ids of the requests that arrive, and either serves each of them or closes its connection
+/// without a response.
+struct RecordingEngine {
+    entry: String,
+    received: Arc<Mutex<BTreeSet<String>>>,
+}
+
+impl RecordingEngine {
+    fn start(name: &str, zone: &str, serves: bool) -> Self {
+        let engine = Engine::new();
+        let entry = engine.list_entry(name, "SERVING").replace(r#""dc""#, &format!("{zone:?}"));
+        let received = Arc::new(Mutex::new(BTreeSet::new()));
+        let record = received.clone();
+        std::thread::spawn(move || {
+            for stream in engine.0.incoming() {
+                let (stream, record) = (stream.unwrap(), record.clone());
+                std::thread::spawn(move || Self::answer(stream, serves, &record));
+            }
+        });
+        RecordingEngine { entry, received }
+    }
+
+    fn answer(stream: TcpStream, serves: bool, received: &Mutex<BTreeSet<String>>) {
+        let mut connection = EngineConnection(BufReader::new(stream));
+        loop {
+            let command = connection.command();
+            match command[0].as_str() {
+                "serve" => {
+                    received.lock().unwrap().insert(command[1].clone());
+                    if !serves {
+                        return;
+                    }
+                    connection.serve(&command[1]);
+                }
+                "" => return,
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Guards against zones that keep the positions of the start: an engine in a zone that a reload has added counted as
+/// one of the first zone, and a keyed request that may have run there ran again in the new one.
+#[test]
+fn a_keyed_request_stays_in_its_zone_when_a_reload_adds_one() {
+    let lossy = RecordingEngine::start("lossy", "dc", false);
+    let added = RecordingEngine::start("added", "new", true);
+    let coordinator = Coordinator::new();
+    let keyed = r#""effect": "keyed", "group": "zone", "window_ms": 5000"#;
+    let edit_config = |text: String| text.replace(r#""effect": "unsafe""#, keyed);
+    let launch = Launch { coordinator: Some(&coordinator), edit_config: &edit_config, ..Launch::new(&[]) };
+    let proxy = launch.start();
+    let (mut stream, _) = coordinator.accept();
+    proxy.reload_with(r#""areas": ["dc"]"#, r#""areas": ["new", "dc"]"#, "/sighup_applied");
+    std::io::Write::write_all(&mut stream, event(2, &[lossy.entry, added.entry]).as_bytes()).unwrap();
+    wait_within(TIMEOUT, "both engines are listed", || proxy.statistic("/discovered") == Some(2));
+    let mut client = proxy.client();
+    let mut id = 0;
+    wait_within(TIMEOUT, "some requests have reached the engine that loses responses", || {
+        client.request(&query("load", id, 900));
+        id += 1;
+        lossy.received.lock().unwrap().len() >= 3
+    });
+    let in_both: Vec<String> =
+        lossy.received.lock().unwrap().intersection(&added.received.lock().unwrap()).cloned().collect();
+    assert_eq!(in_both, [""; 0]);
+}
