--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -131,7 +131,7 @@
             reload(server, path, initial_json);
             continue;
         }
-        tracing::info!(signal, "shutting down");
+        tracing::info!(signal, response_window_ms = server.response_window_ms(), "shutting down");
         server.shut_down();
         tracing::info!("shut down");
         return Ok(());
--- a/crates/proxy/src/server/drain.rs
+++ b/crates/proxy/src/server/drain.rs
@@ -136,7 +136,6 @@
         let started_at = Instant::now();
         let response_window_ms = self.response_window_ms();
         let response_window = to_duration(response_window_ms);
-        tracing::info!(response_window_ms, "limiting the deadlines of open requests");
         self.handler.facade.limit_deadlines(self.handler.facade.now() + response_window_ms);
         if self.has_successor {
             self.acceptor.stop();
@@ -159,7 +158,7 @@
 
     /// Returns the time after SIGTERM by which all accepted requests have their responses, in milliseconds. It
     /// depends on the configuration in force, as does the time at which the platform sends SIGKILL.
-    fn response_window_ms(&self) -> f64 {
+    pub fn response_window_ms(&self) -> f64 {
         let max_deadline_ms =
             if self.has_successor { MAX_UPGRADE_DEADLINE_MS } else { MAX_RESTART_DEADLINE_MS };
         self.config_applier.longest_deadline_ms().min(max_deadline_ms) + RESPONSE_GRACE_MS
