--- a/crates/control-plane/src/raft/driver/apply.rs
+++ b/crates/control-plane/src/raft/driver/apply.rs
@@ -107,6 +107,9 @@
             }
             ConfChangeType::RemoveNode => {
                 state.peers.forget(stored.member);
+                if stored.member == self.replica.own_member.number {
+                    self.own_removal = Some(entry.index);
+                }
                 state.group.remove_member(stored.member)
             }
         };
@@ -134,6 +137,7 @@
         put_snapshot(batch, &state.group, &group, position);
         stored_values::put_membership(batch, &membership);
         self.changes.extend(snapshot_changes(&state.group, &group));
+        self.own_removal = group.removed.contains(&self.replica.own_member.number).then_some(index);
         state.group = group;
         state.applied_index = position.index;
         state.voters = membership.voters.iter().copied().collect();
--- a/crates/control-plane/src/raft/driver/mod.rs
+++ b/crates/control-plane/src/raft/driver/mod.rs
@@ -3,13 +3,15 @@
 //!
 //! Each iteration of [`RaftDriver::run`] handles requests, ticks the library's clock, persists and sends what
 //! the library has ready ([`persistence`]), applies committed entries ([`apply`]), maintains leases and does
-//! the leader's tasks ([`leadership`]), and responds to the proposals that were committed ([`proposals`]).
+//! the leader's tasks ([`leadership`]), and responds to the proposals that were committed ([`proposals`]). A
+//! member that was removed from its group ends ([`removal`]).
 
 mod apply;
 mod leadership;
 mod log_bridge;
 mod persistence;
 mod proposals;
+mod removal;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -23,6 +25,7 @@
 use prost::Message as _;
 use raft::{Config, RawNode};
 
+use self::removal::ReportedCommits;
 use crate::raft::error::ReplicaError;
 use crate::raft::recovery::RecoveredState;
 use crate::raft::replica::Replica;
@@ -71,6 +74,9 @@
     changes: Vec<StateChange>,
     /// The proposals of this process that were committed in this iteration.
     committed: Vec<CommittedProposal>,
+    /// The log index by which this member was removed; `None` while it belongs to the group.
+    own_removal: Option<u64>,
+    reported_commits: ReportedCommits,
     next_tick: Instant,
     keys_checked_at: Instant,
 }
@@ -85,6 +91,7 @@
     ) -> Result<Self, ReplicaError> {
         let RecoveredState { store, group, log, .. } = recovered;
         let voters = &log.membership.voters;
+        let own_removal = group.removed.contains(&replica.own_member.number).then_some(log.applied_index);
         let is_single_voter = *voters == [replica.own_member.number];
         tracing::info!(
             member = replica.own_member.number,
@@ -116,6 +123,8 @@
             responders: BTreeMap::new(),
             changes: Vec::new(),
             committed: Vec::new(),
+            own_removal,
+            reported_commits: ReportedCommits::default(),
             next_tick: now,
             keys_checked_at: now,
         };
@@ -149,6 +158,7 @@
             self.process_ready()?;
             self.notify_changes();
             self.respond_to_committed();
+            self.end_if_removed();
         }
     }
 
@@ -184,10 +194,6 @@
         let changes = std::mem::take(&mut self.changes);
         if changes.contains(&StateChange::MembersChanged) {
             outbound::connect_missing(self.replica);
-            let own = self.replica.own_member.number;
-            if self.replica.with_state(|group| group.removed.contains(&own)) {
-                self.replica.abort_process("this member was removed from its group");
-            }
         }
         (self.on_change)(&changes);
     }
--- a/crates/control-plane/src/raft/driver/proposals.rs
+++ b/crates/control-plane/src/raft/driver/proposals.rs
@@ -3,16 +3,16 @@
 
 use gaugestep_clock::Timestamp;
 use gaugestep_config::schema::{Member, Yield};
-use gaugestep_leadership::group_state::{Command, CommandRejected};
+use gaugestep_leadership::group_state::{Command, CommandRejected, Outcome};
 use gaugestep_leadership::pending_proposals::Proposal;
 use prost::Message as _;
 use raft::SnapshotStatus;
 use raft::eraftpb::{ConfChange, ConfChangeType, Message, MessageType};
 
 use super::{CommittedProposal, RaftDriver};
-use crate::clock;
 use crate::raft::recovery;
 use crate::raft::request::{Request, Responder, Unavailable, ignore_result, reject};
+use crate::{clock, failpoints};
 
 /// The length of a proposal's context: three 8-byte numbers.
 const CONTEXT_BYTES: usize = 24;
@@ -88,12 +88,20 @@
     }
 
     fn on_remove_member(&mut self, member: u64, responder: Responder) {
+        if self.replica.with_state(|group| group.removed.contains(&member)) {
+            // The command was carried out, and its response was lost.
+            return responder(Ok(Outcome::Applied));
+        }
         if !self.replica.with_state(|group| group.members.contains_key(&member)) {
             return reject(responder, CommandRejected::UnknownMember(member));
         }
-        if self.replica.is_single_voter() && member == self.replica.own_member.number {
+        let removes_itself = member == self.replica.own_member.number;
+        if removes_itself && self.replica.is_single_voter() {
             return reject(responder, CommandRejected::LastMember);
         }
+        if removes_itself && !failpoints::is_check_disabled("transfer") {
+            return self.transfer_leadership(responder);
+        }
         self.propose_membership_change(membership_change(ConfChangeType::RemoveNode, member), responder);
     }
 
@@ -135,6 +143,7 @@
                 "the store has lost acknowledged log entries: remove this member, and add a new one",
             );
         }
+        self.reported_commits.record(&message);
         // An error means that the message can be ignored, for example one of a former member.
         let _ = self.raw_node.step(message);
     }
--- a/crates/control-plane/src/raft/request.rs
+++ b/crates/control-plane/src/raft/request.rs
@@ -33,6 +33,9 @@
     /// This member is not the leader, or the previous membership change is not applied yet.
     #[error("members are changed at the leader, one at a time")]
     MembershipChangeRejected,
+    /// This member leads and is to be removed: another one must lead first.
+    #[error("the member to be removed leads the group; its leadership is being transferred")]
+    TransferringLeadership,
     /// The limit of pending proposals is reached.
     #[error(transparent)]
     TooManyProposals(#[from] TooManyProposals),
--- a/tests/leadership/removal.rs
+++ b/tests/leadership/removal.rs
@@ -6,6 +6,14 @@
 use crate::group::{Group, wait_until};
 use crate::single_stage;
 
+/// The member that leads, as the first member knows it.
+fn leader(group: &Group) -> u64 {
+    match group.members[0].call(call::What::Members(ListMembers::default())) {
+        Ok(reply::What::Members(report)) => report.leader,
+        _ => 0,
+    }
+}
+
 /// Waits until the group publishes a version, and checks that only this member is left.
 fn assert_acts_alone(group: &Group, number: u64) {
     group.publish_until_acknowledged("limits { max_open: 12 }", "after the removal", single_stage());
@@ -57,3 +65,37 @@
     group.members.pop();
     assert_acts_alone(&group, 1);
 }
+
+/// Guards against a leader that ends with its own removal before the other member knows of it: the latter needed a
+/// vote that it could not get any more. The operator got an error although the removal was carried out.
+#[test]
+fn a_leader_can_be_removed_and_the_other_member_acts_alone() {
+    let mut group = Group::start(2);
+    wait_until("a member leads", || leader(&group) > 0);
+    let removed = leader(&group);
+    let left = 3 - removed;
+    group.call(call::What::RemoveMember(removed)).unwrap();
+    group.call(call::What::RemoveMember(removed)).expect("a command is repeated if its response was lost");
+    wait_until("the removed member ends", || group.member_mut(removed).has_ended());
+    group.members.retain(|member| member.number == left);
+    assert_acts_alone(&group, left);
+}
+
+/// Like the test above, for a leader that has to commit its own removal, as one does that is elected between the
+/// proposal and the commit.
+#[test]
+fn a_leader_that_commits_its_own_removal_ends_only_once_the_other_member_knows() {
+    const ROUNDS: usize = 4;
+    for _ in 0..ROUNDS {
+        let mut group = Group::start(1);
+        group.member_mut(1).kill();
+        group.member_mut(1).disabled_check = "transfer";
+        group.member_mut(1).start();
+        group.start_member(2);
+        wait_until("the first member leads", || leader(&group) == 1);
+        group.call_until_accepted(call::What::RemoveMember(1));
+        wait_until("the removed member ends", || group.member_mut(1).has_ended());
+        group.members.remove(0);
+        assert_acts_alone(&group, 2);
+    }
+}
