Wait until a rollback is complete in the test of rollbacks to the empty document

a_rollback_to_the_empty_document_is_not_rolled_back_in_turn failed once, in a run of all configuration tests beside others: the version that rolls back was "rolling" when the proxy had rejected it. Both are right at that time. The command that stores the state is proposed before the offer is sent, but is committed with a synced write, and the proxy's rejection can arrive before. This order follows from the code and the failed run's output; eight runs of the test alone on the code before passed, and so did six on the changed code.

The test waits for the state in place of reading it once. It is as strict: a rollback that is halted never becomes complete.

--- a/tests/configuration/rollouts.rs
+++ b/tests/configuration/rollouts.rs
@@ -127,8 +127,9 @@
     wait_until("the rollback is rejected", || {
         control.proxy_status("n0")["refused"].as_u64().is_some_and(|rejected| rejected >= rollback)
     });
-    let entry = control.run_json(&["show", &rollback.to_string()]);
-    assert_eq!(entry["state"], "complete", "{entry}");
+    wait_until("the rollback is complete", || {
+        control.run_json(&["show", &rollback.to_string()])["state"] == "complete"
+    });
     assert_eq!(control.run_json(&["status"])["newest"], rollback);
     assert_eq!(in_force(&proxy), 0);
     assert_eq!(control.proxy_status("n0")["refusal"]["code"], "not-stored");
