--- a/crates/config/src/rollout/mod.rs
+++ b/crates/config/src/rollout/mod.rs
@@ -61,6 +61,8 @@
     last_nonce: u64,
     /// The highest version number that any proxy has reported to have in force.
     highest_reported: u64,
+    /// When this control server started or acquired the lease. `None` if it knows the fleet from the beginning.
+    recovered_at: Option<Timestamp>,
 }
 
 impl Rollout {
@@ -69,9 +71,15 @@
     pub fn recover(now: Timestamp, stored: impl IntoIterator<Item = StoredRollout>) -> Self {
         let versions = stored.into_iter().map(|version| {
             let StoredRollout { number, plan, state, purpose } = version;
-            (number, VersionRollout::taken_over(now, plan, purpose, state))
+            (number, VersionRollout { state, ..VersionRollout::new(plan, purpose) })
         });
-        Rollout { versions: versions.collect(), ..Rollout::default() }
+        Rollout { versions: versions.collect(), recovered_at: Some(now), ..Rollout::default() }
+    }
+
+    /// Whether proxies that have not connected to this control server yet may still reconnect, so that the
+    /// fleet is not fully known.
+    pub fn awaits_reconnects(&self, now: Timestamp) -> bool {
+        self.recovered_at.is_some_and(|at| now.duration_since(at) < RECONNECT_TIMEOUT)
     }
 
     /// The state that the next lease holder needs in addition to the published versions: the stage of the
--- a/crates/config/src/rollout/selection.rs
+++ b/crates/config/src/rollout/selection.rs
@@ -23,7 +23,7 @@
         let with_version = self.proxies.iter().filter(|(_, proxy)| proxy.in_force == number);
         version.selected.extend(with_version.map(|(name, _)| name.clone()));
 
-        let present = version.selected.iter().filter(|name| self.is_present(now, version, name)).count();
+        let present = version.selected.iter().filter(|name| self.is_present(now, name)).count();
         let missing = self.stage_size(version).saturating_sub(present);
         let unselected = self.connected_names().filter(|name| !version.selected.contains(*name));
         let mut candidates: Vec<&String> = unselected.collect();
@@ -47,10 +47,10 @@
 
     /// Whether a selected proxy is connected, or has not connected to this control server yet and may still
     /// do so.
-    fn is_present(&self, now: Timestamp, version: &VersionRollout, name: &str) -> bool {
+    fn is_present(&self, now: Timestamp, name: &str) -> bool {
         match self.proxies.get(name) {
             Some(proxy) => proxy.is_connected(),
-            None => version.awaits_reconnects(now),
+            None => self.awaits_reconnects(now),
         }
     }
 
--- a/crates/config/src/rollout/stages.rs
+++ b/crates/config/src/rollout/stages.rs
@@ -95,7 +95,7 @@
             return true;
         }
         let all_have_status = version.selected.iter().all(|name| self.proxies.contains_key(name));
-        if !all_have_status && version.awaits_reconnects(now) {
+        if !all_have_status && self.awaits_reconnects(now) {
             return false;
         }
         let mut selected = version.selected.iter().filter_map(|name| self.proxies.get(name)).peekable();
@@ -115,7 +115,7 @@
         }
         let mut connected = self.proxies.values().filter(|proxy| proxy.is_connected()).peekable();
         let is_conclusive = self.proxies.is_empty() || connected.peek().is_some();
-        !version.awaits_reconnects(now)
+        !self.awaits_reconnects(now)
             && is_conclusive
             && connected.all(|proxy| version.is_settled(now, number, proxy))
     }
--- a/crates/config/src/rollout/version.rs
+++ b/crates/config/src/rollout/version.rs
@@ -7,7 +7,6 @@
 use crate::schema::entry::State;
 use crate::schema::{Plan, Progress};
 
-use super::RECONNECT_TIMEOUT;
 use super::comparison::{Comparison, RequestCounts};
 use super::proxies::ProxyStatus;
 
@@ -61,9 +60,6 @@
     /// The objections to the version: why a proxy counts against it, by the name of the proxy.
     pub(super) objections: BTreeMap<String, String>,
     pub(super) comparison: Comparison,
-    /// When this control server took the rollout over from another one or read it from its own store.
-    /// Selected proxies that have not connected to it yet may be reconnecting.
-    taken_over_at: Option<Timestamp>,
 }
 
 impl VersionRollout {
@@ -76,15 +72,9 @@
             selected: BTreeSet::new(),
             objections: BTreeMap::new(),
             comparison: Comparison::default(),
-            taken_over_at: None,
         }
     }
 
-    /// Creates a rollout that another process has begun, in its first stage.
-    pub(super) fn taken_over(now: Timestamp, plan: Plan, purpose: Purpose, state: State) -> Self {
-        VersionRollout { state, taken_over_at: Some(now), ..VersionRollout::new(plan, purpose) }
-    }
-
     /// The state that the next lease holder needs in addition to the published version; `None` if it can
     /// derive it.
     pub(super) fn progress(&self, number: u64) -> Option<Progress> {
@@ -115,11 +105,6 @@
         }
     }
 
-    /// Whether proxies that have not connected to this control server yet may still reconnect.
-    pub(super) fn awaits_reconnects(&self, now: Timestamp) -> bool {
-        self.taken_over_at.is_some_and(|at| now.duration_since(at) < RECONNECT_TIMEOUT)
-    }
-
     /// Whether the plan omits the present stage. Only used before the full stage, which is never omitted.
     pub(super) fn skips_stage(&self) -> bool {
         match self.stage {
--- a/crates/config/tests/rollout.rs
+++ b/crates/config/tests/rollout.rs
@@ -191,6 +191,39 @@
     assert!(offers(&advanced, 1) > 0, "the rollout advances once no selected proxy is waited for");
 }
 
+/// Guards against taking a fleet that is not known yet for an empty one: a version that every proxy rejects was complete
+/// before a proxy had reconnected, and was never rolled back.
+#[test]
+fn a_version_published_after_a_start_is_complete_only_once_proxies_could_reconnect() {
+    let stored = [(1, State::Complete), (2, State::Overtaken)].map(|(number, state)| StoredRollout {
+        number,
+        plan: Plan::default(),
+        state,
+        purpose: Purpose::Change,
+    });
+    let start = || {
+        let mut fleet = Fleet { rollout: Rollout::recover(at(0.0), stored), now: at(100.0) };
+        fleet.publish(3, Plan::default());
+        assert_eq!(fleet.rollout.state(3), Some(State::Rolling));
+        fleet
+    };
+    let mut rejecting = start();
+    rejecting.now = at(3_000.0);
+    let offered = rejecting.connect(0, 0, 1);
+    let halted = rejecting.respond(offered, Some("unknown-name"));
+    assert!(halted.iter().any(|action| matches!(action, Action::RollBack { halted: 3, restored: 1, .. })));
+    let mut accepting = start();
+    accepting.now = at(3_000.0);
+    let offered = accepting.connect(0, 0, 1);
+    accepting.respond(offered, None);
+    assert_eq!(accepting.rollout.state(3), Some(State::Rolling), "another proxy may still reconnect");
+    for mut fleet in [accepting, start()] {
+        fleet.now = at(0.0) + RECONNECT_TIMEOUT;
+        fleet.handle(Event::Tick);
+        assert_eq!(fleet.rollout.state(3), Some(State::Complete));
+    }
+}
+
 #[test]
 fn a_rejection_halts_and_restores_the_last_complete_version_under_a_new_number() {
     let mut fleet = Fleet::new(10);
--- a/crates/control-plane/src/cli/proxies.rs
+++ b/crates/control-plane/src/cli/proxies.rs
@@ -148,6 +148,9 @@
     rejected_count: usize,
     /// Why the rollout was halted; empty if it was not.
     halted_for: String,
+    /// Whether the rollout waits for proxies that may still reconnect.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    awaits_reconnects: bool,
 }
 
 impl WatchReport {
@@ -160,16 +163,18 @@
             connected_count: connected().count(),
             rejected_count: fleet.proxies.iter().filter(|proxy| proxy.refused == number).count(),
             halted_for: entry.halted_for.clone(),
+            awaits_reconnects: entry.state() == State::Rolling && fleet.awaits_reconnects,
         }
     }
 
     fn line(&self) -> String {
-        let WatchReport { version, state, in_force_count, connected_count, rejected_count, halted_for } =
-            self;
+        let WatchReport { version, state, in_force_count, connected_count, rejected_count, .. } = self;
+        let halted_for = &self.halted_for;
+        let remark = if self.awaits_reconnects { "; waits for proxies to reconnect" } else { "" };
         let cause = if halted_for.is_empty() { String::new() } else { format!(": {halted_for}") };
         format!(
             "version {version} {state}{cause}; in force at {in_force_count} of {connected_count} proxies, \
-             rejected by {rejected_count}\n"
+             rejected by {rejected_count}{remark}\n"
         )
     }
 
--- a/crates/control-plane/src/server/admin/fleet.rs
+++ b/crates/control-plane/src/server/admin/fleet.rs
@@ -23,7 +23,8 @@
         let mut proxies: Vec<Proxy> = managed.chain(unmanaged).collect();
         proxies.sort_by(|a, b| (&a.name, a.displaced).cmp(&(&b.name, b.displaced)));
         let newest = self.replica.with_state(GroupState::newest_version);
-        Ok(reply::What::Fleet(Fleet { newest, proxies }))
+        let awaits_reconnects = state.rollout_lease.rollout.awaits_reconnects(now);
+        Ok(reply::What::Fleet(Fleet { newest, proxies, awaits_reconnects }))
     }
 }
 
