--- a/crates/config/src/rollout/mod.rs
+++ b/crates/config/src/rollout/mod.rs
@@ -61,7 +61,8 @@
     last_nonce: u64,
     /// The highest version number that any proxy has reported to have in force.
     highest_reported: u64,
-    /// When this control server started or acquired the lease. `None` if it knows the fleet from the beginning.
+    /// When this control server started or acquired the lease; `None` if it knows the fleet from the
+    /// beginning.
     recovered_at: Option<Timestamp>,
 }
 
--- a/crates/config/src/rollout/version.rs
+++ b/crates/config/src/rollout/version.rs
@@ -44,7 +44,8 @@
     /// A change by an operator. Its rollout may halt.
     Change,
     /// A rollback to the content of an earlier version, or to the empty document if there is none. It is
-    /// offered to all proxies at once and never halts: otherwise it would be rolled back in turn, without end.
+    /// offered to all proxies at once and never halts: otherwise it would be rolled back in turn, without
+    /// end.
     RollBack,
 }
 
--- a/crates/config/tests/rollout.rs
+++ b/crates/config/tests/rollout.rs
@@ -191,8 +191,8 @@
     assert!(offers(&advanced, 1) > 0, "the rollout advances once no selected proxy is waited for");
 }
 
-/// Guards against taking a fleet that is not known yet for an empty one: a version that every proxy rejects was complete
-/// before a proxy had reconnected, and was never rolled back.
+/// Guards against taking a fleet that is not known yet for an empty one: a version that every proxy rejects
+/// was complete before a proxy had reconnected, and was never rolled back.
 #[test]
 fn a_version_published_after_a_start_is_complete_only_once_proxies_could_reconnect() {
     let stored = [(1, State::Complete), (2, State::Overtaken)].map(|(number, state)| StoredRollout {
--- a/crates/control-plane/src/raft/driver/mod.rs
+++ b/crates/control-plane/src/raft/driver/mod.rs
@@ -76,6 +76,7 @@
     committed: Vec<CommittedProposal>,
     /// The log index by which this member was removed; `None` while it belongs to the group.
     own_removal: Option<u64>,
+    /// How far the logs of the other members are committed.
     reported_commits: ReportedCommits,
     next_tick: Instant,
     keys_checked_at: Instant,
--- a/crates/control-plane/src/raft/driver/removal.rs
+++ b/crates/control-plane/src/raft/driver/removal.rs
@@ -1,8 +1,9 @@
 //! The end of a member that was removed from its group.
 //!
-//! A removal is decided by the members before it, so those that stay may need the vote of the removed one until they
-//! know that it is committed. The process therefore ends only once enough of them do. A member that leads transfers
-//! its leadership before it is removed, so that it does not have to commit its own removal.
+//! A removal is decided by the members before it, so those that stay may need the vote of the removed one
+//! until they know that it is committed. The process therefore ends only once enough of them do. A member
+//! that leads transfers its leadership before it is removed, so that it does not have to commit its own
+//! removal.
 
 use std::collections::BTreeMap;
 
@@ -31,8 +32,8 @@
 }
 
 impl RaftDriver<'_> {
-    /// Transfers the leadership to the voter with the most complete log that responds, so that the next leader removes this member
-    /// when the command is repeated.
+    /// Transfers the leadership to the voter that responds and has the most complete log, so that the next
+    /// leader removes this member when the command is repeated.
     pub(super) fn transfer_leadership(&mut self, responder: Responder) {
         let own = self.replica.own_member.number;
         let raft = &self.raw_node.raft;
@@ -50,8 +51,8 @@
         responder(Err(Unavailable::TransferringLeadership));
     }
 
-    /// Ends the process if this member was removed and those that stay can act without it: a leader waits for a
-    /// majority of them to know the removal, another member for the one that has told it.
+    /// Ends the process if this member was removed and those that stay can act without it: a leader waits for
+    /// a majority of them to report the removal as committed, another member for one of them.
     pub(super) fn end_if_removed(&self) {
         let Some(index) = self.own_removal else { return };
         let own = self.replica.own_member.number;
--- a/crates/proxy/src/discovery/endpoint_list.rs
+++ b/crates/proxy/src/discovery/endpoint_list.rs
@@ -121,8 +121,8 @@
         self.handler.upstream_pool.retain_only(&engines);
     }
 
-    /// Applies the update of one endpoint, and appends its entry for the dispatcher, if it is listed. An engine
-    /// that another one replaces at its address is removed, because its process has gone.
+    /// Applies the update of one endpoint, and appends its entry for the dispatcher, if it is listed. An
+    /// engine that another one replaces at its address is removed, because its process has gone.
     fn apply_update(&self, mut update: EndpointUpdate, entries: &mut Vec<EngineEntry>) {
         match lock(&self.state).conflict(&update) {
             None => {}
@@ -201,8 +201,8 @@
         self.names_by_address.retain(|_, name| endpoints.contains_key(name));
     }
 
-    /// Adds, changes or deletes an endpoint on the list. Returns `None` if the update removes an endpoint that
-    /// is not listed.
+    /// Adds, changes or deletes an endpoint on the list. Returns `None` if the update removes an endpoint
+    /// that is not listed.
     fn store(&mut self, update: &EndpointUpdate) -> Option<StoredUpdate> {
         if update.readiness == Readiness::Gone {
             let removed = self.remove(update.name)?;
--- a/crates/proxy/src/location_ids.rs
+++ b/crates/proxy/src/location_ids.rs
@@ -1,7 +1,8 @@
 //! Ids of zones and machine types by their names.
 //!
-//! A name keeps its id while the process runs, whatever position it has in a reloaded configuration: engines that
-//! are listed, attempts in flight and classes of earlier settings refer to zones and machine types by these ids.
+//! A name keeps its id while the process runs, whatever position it has in a reloaded configuration: engines
+//! that are listed, attempts in flight and classes of earlier settings refer to zones and machine types by
+//! these ids.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -45,8 +46,8 @@
 }
 
 impl LocationIds {
-    /// Returns the id of a zone of the endpoint list. An engine without a zone counts as in the first zone of the
-    /// configuration of the start.
+    /// Returns the id of a zone of the endpoint list. An engine without a zone counts as in the first zone of
+    /// the configuration of the start.
     pub fn zone(&self, name: Option<&str>) -> ZoneId {
         ZoneId(name.map_or(0, |name| self.zones.id(name)))
     }
@@ -74,8 +75,8 @@
     }
 }
 
-/// Returns the settings of machine types by id. Ids between them, of machine types that the configuration does not
-/// name, get the settings of an unknown one. Of several settings with one id the first ones apply.
+/// Returns the settings of machine types by id. Ids between them, of machine types that the configuration
+/// does not name, get the settings of an unknown one. Of several settings with one id the first ones apply.
 fn reorder(settings: &[MachineTypeSettings], ids: &[usize]) -> Vec<MachineTypeSettings> {
     let count = ids.iter().max().map_or(0, |id| id + 1);
     let mut by_id = vec![MachineTypeSettings::UNKNOWN; count];
--- a/crates/proxy/src/request_lifecycle.rs
+++ b/crates/proxy/src/request_lifecycle.rs
@@ -95,8 +95,8 @@
     }
 }
 
-/// Claims a request that must not run twice, if this process is one of the two of an upgrade, and blocks until its
-/// first step is decided.
+/// Claims a request that must not run twice, if this process is one of the two of an upgrade, and blocks
+/// until its first step is decided.
 fn first_step(handler: &RequestHandler, query: &Query, mailbox: &Mailbox<UpstreamEvent>) -> NextStep {
     let request = &query.request;
     if handler.facade.must_run_once(request.class) {
--- a/crates/proxy/src/server/drain.rs
+++ b/crates/proxy/src/server/drain.rs
@@ -156,8 +156,8 @@
         std::thread::sleep(FINAL_FLUSH);
     }
 
-    /// Returns the time after SIGTERM by which all accepted requests have their responses, in milliseconds. It
-    /// depends on the configuration in force, as does the time at which the platform sends SIGKILL.
+    /// Returns the time after SIGTERM by which all accepted requests have their responses, in milliseconds.
+    /// It depends on the configuration in force, as does the time at which the platform sends SIGKILL.
     pub fn response_window_ms(&self) -> f64 {
         let max_deadline_ms =
             if self.has_successor { MAX_UPGRADE_DEADLINE_MS } else { MAX_RESTART_DEADLINE_MS };
--- a/tests/leadership/removal.rs
+++ b/tests/leadership/removal.rs
@@ -66,8 +66,9 @@
     assert_acts_alone(&group, 1);
 }
 
-/// Guards against a leader that ends with its own removal before the other member knows of it: the latter needed a
-/// vote that it could not get any more. The operator got an error although the removal was carried out.
+/// Guards against a leader that ends with its own removal before the other member knows of it: the latter
+/// needed a vote that it could not get any more. The operator got an error although the removal was carried
+/// out.
 #[test]
 fn a_leader_can_be_removed_and_the_other_member_acts_alone() {
     let mut group = Group::start(2);
@@ -81,8 +82,8 @@
     assert_acts_alone(&group, left);
 }
 
-/// Like the test above, for a leader that has to commit its own removal, as one does that is elected between the
-/// proposal and the commit.
+/// Like the test above, for a leader that has to commit its own removal, as one does that is elected between
+/// the proposal and the commit.
 #[test]
 fn a_leader_that_commits_its_own_removal_ends_only_once_the_other_member_knows() {
     const ROUNDS: usize = 4;
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -17,8 +17,8 @@
 const LONG_DEADLINE: &str = r#""deadline_ms": 4000"#;
 const SHORT_DEADLINE: &str = r#""deadline_ms": 1000"#;
 
-/// Terminates the proxy while a request is open, which must end with a response. Returns the response window in the
-/// log, in milliseconds.
+/// Terminates the proxy while a request is open, which must end with a response. Returns the response window
+/// in the log, in milliseconds.
 fn response_window_ms(mut proxy: Proxy, engine: &Engine, log: &std::path::Path) -> f64 {
     let mut client = proxy.client();
     let _open = client.send_to(engine, &query("lookup", 1, 60_000));
@@ -31,8 +31,8 @@
     windows[0]
 }
 
-/// Guards against a response window that stays that of the start: requests were unanswered when SIGKILL came, or were
-/// ended long before.
+/// Guards against a response window that stays that of the start: requests were unanswered when SIGKILL came,
+/// or were ended long before.
 #[test]
 fn a_shutdown_responds_within_the_longest_deadline_of_the_reloaded_configuration() {
     let folder = tempfile::tempdir().unwrap();
@@ -56,8 +56,8 @@
     }
 }
 
-/// Guards against timeouts of connections that stay those of the start: engines closed idle connections before the
-/// proxy did.
+/// Guards against timeouts of connections that stay those of the start: engines closed idle connections
+/// before the proxy did.
 #[test]
 fn connections_to_engines_follow_the_reloaded_settings() {
     let engine = Engine::new();
@@ -70,8 +70,8 @@
     connection.assert_closed_by_proxy();
 }
 
-/// Guards against a limit of open requests that follows the descriptors in the reloaded file, although the process
-/// keeps those of its start.
+/// Guards against a limit of open requests that follows the descriptors in the reloaded file, although the
+/// process keeps those of its start.
 #[test]
 fn the_limits_of_the_process_stay_as_they_were_at_the_start() {
     // With 256 descriptors 76 requests may be open, and with 64 descriptors 18.
@@ -86,8 +86,8 @@
     }
 }
 
-/// An engine that records the ids of the requests that arrive, and either serves each of them or closes its connection
-/// without a response.
+/// An engine that records the ids of the requests that arrive, and either serves each of them or closes its
+/// connection without a response.
 struct RecordingEngine {
     entry: String,
     received: Arc<Mutex<BTreeSet<String>>>,
@@ -127,8 +127,8 @@
     }
 }
 
-/// Guards against zones that keep the positions of the start: an engine in a zone that a reload has added counted as
-/// one of the first zone, and a keyed request that may have run there ran again in the new one.
+/// Guards against zones that keep the positions of the start: an engine in a zone that a reload has added
+/// counted as one of the first zone, and a keyed request that may have run there ran again in the new one.
 #[test]
 fn a_keyed_request_stays_in_its_zone_when_a_reload_adds_one() {
     let lossy = RecordingEngine::start("lossy", "dc", false);
