--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -277,9 +277,18 @@
     /// Has the proxy reload its configuration with a text replaced, waits until this statistic changes, and
     /// restores the file.
     pub fn reload_with(&self, from: &str, to: &str, statistic: &str) {
+        let replace = |text: String| {
+            assert!(text.contains(from));
+            text.replace(from, to)
+        };
+        self.reload_edited(&replace, statistic);
+    }
+
+    /// Has the proxy reload its configuration as changed by `edit`, waits until this statistic changes, and
+    /// restores the file.
+    pub fn reload_edited(&self, edit: &dyn Fn(String) -> String, statistic: &str) {
         let text = std::fs::read_to_string(&self.config).unwrap();
-        assert!(text.contains(from));
-        std::fs::write(&self.config, text.replace(from, to)).unwrap();
+        std::fs::write(&self.config, edit(text.clone())).unwrap();
         let before = self.statistic(statistic);
         self.signal("-HUP");
         let until = Instant::now() + TIMEOUT;
--- a/tests/reload.rs
+++ b/tests/reload/main.rs
@@ -1,34 +1,39 @@
 //! A proxy that got its configuration by SIGHUP behaves like one that was started with it.
 #![allow(clippy::unwrap_used, reason = "helpers of tests: a failed unwrap is a failed test")]
 
-#[path = "common/proxy.rs"]
+#[path = "../common/proxy.rs"]
 mod proxy;
 
-use std::collections::BTreeSet;
-use std::io::BufReader;
-use std::net::TcpStream;
-use std::sync::{Arc, Mutex};
+mod configuration;
+mod engine;
+mod pairs;
 
-use proxy::{
-    Client, Coordinator, Engine, EngineConnection, Launch, Proxy, TIMEOUT, event, query, wait_within,
-};
+use std::path::Path;
+
+use engine::RecordingEngine;
+use proxy::{Client, Coordinator, Engine, Launch, Proxy, TIMEOUT, event, query, wait_within};
 
 /// The deadline of both classes in the configuration of the tests.
 const LONG_DEADLINE: &str = r#""deadline_ms": 4000"#;
 const SHORT_DEADLINE: &str = r#""deadline_ms": 1000"#;
 
+/// The response window that a terminated proxy has logged, in milliseconds.
+fn logged_response_window_ms(log: &Path) -> f64 {
+    let lines = std::fs::read_to_string(log).unwrap();
+    let lines = lines.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    let windows: Vec<f64> = lines.filter_map(|line| line["response_window_ms"].as_f64()).collect();
+    assert_eq!(windows.len(), 1);
+    windows[0]
+}
+
 /// Terminates the proxy while a request is open, which must end with a response. Returns the response window
 /// in the log, in milliseconds.
-fn response_window_ms(mut proxy: Proxy, engine: &Engine, log: &std::path::Path) -> f64 {
+fn response_window_ms(mut proxy: Proxy, engine: &Engine, log: &Path) -> f64 {
     let mut client = proxy.client();
     let _open = client.send_to(engine, &query("lookup", 1, 60_000));
     assert!(proxy.terminate().success());
     assert!(client.read_response().starts_with("E 53000"));
-    let lines = std::fs::read_to_string(log).unwrap();
-    let lines = lines.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
-    let windows: Vec<f64> = lines.filter_map(|line| line["response_window_ms"].as_f64()).collect();
-    assert_eq!(windows.len(), 1);
-    windows[0]
+    logged_response_window_ms(log)
 }
 
 /// Guards against a response window that stays that of the start: requests were unanswered when SIGKILL came,
@@ -86,53 +91,13 @@
     }
 }
 
-/// An engine that records the ids of the requests that arrive, and either serves each of them or closes its
-/// connection without a response.
-struct RecordingEngine {
-    entry: String,
-    received: Arc<Mutex<BTreeSet<String>>>,
-}
-
-impl RecordingEngine {
-    fn start(name: &str, zone: &str, serves: bool) -> Self {
-        let engine = Engine::new();
-        let entry = engine.list_entry(name, "SERVING").replace(r#""dc""#, &format!("{zone:?}"));
-        let received = Arc::new(Mutex::new(BTreeSet::new()));
-        let record = received.clone();
-        std::thread::spawn(move || {
-            for stream in engine.0.incoming() {
-                let (stream, record) = (stream.unwrap(), record.clone());
-                std::thread::spawn(move || Self::answer(stream, serves, &record));
-            }
-        });
-        RecordingEngine { entry, received }
-    }
-
-    fn answer(stream: TcpStream, serves: bool, received: &Mutex<BTreeSet<String>>) {
-        let mut connection = EngineConnection(BufReader::new(stream));
-        loop {
-            let command = connection.command();
-            match command[0].as_str() {
-                "serve" => {
-                    received.lock().unwrap().insert(command[1].clone());
-                    if !serves {
-                        return;
-                    }
-                    connection.serve(&command[1]);
-                }
-                "" => return,
-                _ => {}
-            }
-        }
-    }
-}
-
 /// Guards against zones that keep the positions of the start: an engine in a zone that a reload has added
 /// counted as one of the first zone, and a keyed request that may have run there ran again in the new one.
 #[test]
 fn a_keyed_request_stays_in_its_zone_when_a_reload_adds_one() {
-    let lossy = RecordingEngine::start("lossy", "dc", false);
-    let added = RecordingEngine::start("added", "new", true);
+    let lossy = RecordingEngine::start("lossy", "dc", "k");
+    lossy.loses_first_attempts(true);
+    let added = RecordingEngine::start("added", "new", "k");
     let coordinator = Coordinator::new();
     let keyed = r#""effect": "keyed", "group": "zone", "window_ms": 5000"#;
     let edit_config = |text: String| text.replace(r#""effect": "unsafe""#, keyed);
@@ -140,16 +105,17 @@
     let proxy = launch.start();
     let (mut stream, _) = coordinator.accept();
     proxy.reload_with(r#""areas": ["dc"]"#, r#""areas": ["new", "dc"]"#, "/sighup_applied");
-    std::io::Write::write_all(&mut stream, event(2, &[lossy.entry, added.entry]).as_bytes()).unwrap();
+    let entries = [lossy.entry.clone(), added.entry.clone()];
+    std::io::Write::write_all(&mut stream, event(2, &entries).as_bytes()).unwrap();
     wait_within(TIMEOUT, "both engines are listed", || proxy.statistic("/discovered") == Some(2));
     let mut client = proxy.client();
     let mut id = 0;
     wait_within(TIMEOUT, "some requests have reached the engine that loses responses", || {
         client.request(&query("load", id, 900));
         id += 1;
-        lossy.received.lock().unwrap().len() >= 3
+        lossy.received().len() >= 3
     });
-    let in_both: Vec<String> =
-        lossy.received.lock().unwrap().intersection(&added.received.lock().unwrap()).cloned().collect();
+    let (lossy, added) = (lossy.received(), added.received());
+    let in_both: Vec<&String> = lossy.keys().filter(|id| added.contains_key(*id)).collect();
     assert_eq!(in_both, [""; 0]);
 }
